--- a/active/document.go
+++ b/active/document.go
@@ -61,7 +61,7 @@
 func (d Document) Digest() string {
 	sum := sha256.New()
 	for _, f := range d.Files {
-		fmt.Fprintf(sum, "%s\x00%s\x00", f.Name, f.Body)
+		_, _ = fmt.Fprintf(sum, "%s\x00%s\x00", f.Name, f.Body)
 	}
 	return hex.EncodeToString(sum.Sum(nil)[:digestBytes])
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -65,7 +65,9 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Error returns the status and what the node said.
-func (e *Error) Error() string { return fmt.Sprintf("%d %s: %s", e.status, e.body.Outcome, e.body.Error) }
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", e.status, e.body.Outcome, e.body.Error)
+}
 
 // Status returns the HTTP status.
 func (e *Error) Status() int { return e.status }
--- /dev/null
+++ b/cmds/demo.go
@@ -0,0 +1,19 @@
+package cmds
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/currantloft/currantloft/demo"
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run nodes, quotes and two trainers on stand-ins in this process",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return demo.Run(ctx, c.Root().Writer)
+		},
+	}
+}
--- /dev/null
+++ b/cmds/drain.go
@@ -0,0 +1,52 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/currantloft/currantloft/caller"
+)
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "stop nodes gracefully, or keep new work from an endpoint",
+		Flags: []cli.Flag{
+			nodesFlag(),
+			&cli.StringFlag{Name: "endpoint", Usage: "`NAME` of an endpoint that is leaving, in place of the node"},
+			&cli.BoolFlag{Name: "undo", Usage: "take the endpoint back"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			nodes := c.StringSlice("node")
+			client := caller.New(nodes, "")
+			defer client.Close()
+			if endpoint := c.String("endpoint"); endpoint != "" {
+				return drainEndpoint(ctx, c, client, nodes, endpoint)
+			}
+			for _, node := range nodes {
+				if err := client.Drain(ctx, node); err != nil {
+					return fmt.Errorf("draining %s: %w", node, err)
+				}
+				if _, err := fmt.Fprintln(c.Root().Writer, node, "is leaving"); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// drainEndpoint tells the first node that answers; it tells the others.
+func drainEndpoint(
+	ctx context.Context, c *cli.Command, client *caller.Client, nodes []string, endpoint string,
+) (err error) {
+	for _, node := range nodes {
+		if err = client.MarkEndpoint(ctx, node, endpoint, !c.Bool("undo")); err == nil {
+			_, err = fmt.Fprintf(c.Root().Writer, "endpoint %s is marked\n", endpoint)
+			return err
+		}
+	}
+	return fmt.Errorf("marking endpoint %s: %w", endpoint, err)
+}
--- /dev/null
+++ b/cmds/plan.go
@@ -0,0 +1,85 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/currantloft/currantloft/active"
+	"github.com/currantloft/currantloft/caller"
+	"github.com/currantloft/currantloft/specs"
+)
+
+const defaultNode = "http://127.0.0.1:7480"
+
+func planCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "plan",
+		Usage:     "show what an apply would change",
+		ArgsUsage: "FOLDER",
+		Flags:     []cli.Flag{nodesFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			_, set, err := readSet(c)
+			if err != nil {
+				return err
+			}
+			client := caller.New(c.StringSlice("node"), "")
+			defer client.Close()
+			_, document, err := inForce(ctx, client, c.StringSlice("node"))
+			if err != nil {
+				return err
+			}
+			return printPlan(c, document, set)
+		},
+	}
+}
+
+func nodesFlag() cli.Flag {
+	return &cli.StringSliceFlag{
+		Name: "node", Aliases: []string{"n"}, Usage: "`URL` of a node to ask, may be repeated",
+		Value: []string{defaultNode}, Sources: cli.EnvVars("CURRANTLOFT_NODE"),
+	}
+}
+
+// inForce returns the highest configuration in force among the named nodes and
+// the node that has it.
+func inForce(ctx context.Context, client *caller.Client, nodes []string) (string, active.Document, error) {
+	var best active.Document
+	var from string
+	var failed error
+	for _, node := range nodes {
+		document, err := client.Config(ctx, node)
+		if err != nil {
+			failed = err
+			continue
+		}
+		if from == "" || document.Generation > best.Generation {
+			best, from = document, node
+		}
+	}
+	if from == "" {
+		return "", best, fmt.Errorf("no node answers, name one with --node: %w", failed)
+	}
+	return from, best, nil
+}
+
+func printPlan(c *cli.Command, document active.Document, set *specs.Set) error {
+	var before *specs.Set
+	if document.Generation > 0 {
+		parsed, err := specs.Parse(document.SpecFiles())
+		if err != nil {
+			return fmt.Errorf("reading generation %d: %w", document.Generation, err)
+		}
+		before = parsed
+	}
+	changes := specs.Diff(before, set)
+	out := c.Root().Writer
+	for _, change := range changes {
+		if _, err := fmt.Fprintln(out, change); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(out, "%d changes against generation %d\n", len(changes), document.Generation)
+	return err
+}
--- /dev/null
+++ b/cmds/root.go
@@ -0,0 +1,88 @@
+// Package cmds is the command line of currantloft, one command a file.
+//
+// # Usage
+//
+//	os.Exit(cmds.Execute(ctx, os.Args, os.Stdout, os.Stderr))
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of the program.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitFindings = 3
+	ExitConflict = 4
+	ExitUnknown  = 5
+)
+
+// exitError carries the exit code that an error stands for.
+type exitError struct {
+	code  int
+	cause error
+}
+
+// Error returns the cause's text.
+func (e *exitError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.cause }
+
+// Execute runs the program and returns its exit code. The first SIGINT or
+// SIGTERM ends the context, which long-running commands take for a planned stop.
+func Execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	err := newRoot(out, errOut).Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(errOut, "currantloft:", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	return ExitFailed
+}
+
+func newRoot(out, errOut io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:                  "currantloft",
+		Usage:                 "rollout service for reinforcement learning, run by declarations in version control",
+		EnableShellCompletion: true,
+		Writer:                out,
+		ErrWriter:             errOut,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return &exitError{code: ExitUsage, cause: fmt.Errorf("%w: see currantloft --help", err)}
+		},
+		Commands: []*cli.Command{
+			nodeCommand(),
+			checkCommand(),
+			planCommand(),
+			applyCommand(),
+			statusCommand(),
+			dumpCommand(),
+			drainCommand(),
+			loadCommand(),
+			demoCommand(),
+			versionCommand(),
+			standInCommand(),
+		},
+	}
+}
+
+// usageError returns an error for a wrong use of the command line.
+func usageError(format string, args ...any) error {
+	return &exitError{code: ExitUsage, cause: fmt.Errorf(format, args...)}
+}
--- /dev/null
+++ b/cmds/status.go
@@ -0,0 +1,89 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/currantloft/currantloft/caller"
+	"github.com/currantloft/currantloft/entry"
+)
+
+const statusTimeout = 2 * time.Second
+
+// nodeLine is one node in the answer of status.
+type nodeLine struct {
+	Node       string `json:"node"`
+	Domain     string `json:"domain"`
+	State      string `json:"state"`
+	URL        string `json:"url"`
+	Generation uint64 `json:"generation"`
+	InFlight   int    `json:"in_flight"`
+	Problem    string `json:"problem,omitempty"`
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show every node and the generation in force there",
+		Flags: []cli.Flag{
+			nodesFlag(),
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			client := caller.New(c.StringSlice("node"), "")
+			defer client.Close()
+			status, err := firstStatus(ctx, client, c.StringSlice("node"))
+			if err != nil {
+				return err
+			}
+			lines := askEach(ctx, client, status)
+			if c.Bool("json") {
+				return json.NewEncoder(c.Root().Writer).Encode(lines)
+			}
+			return printStatus(c, lines)
+		},
+	}
+}
+
+// firstStatus returns the status of the first named node that answers.
+func firstStatus(ctx context.Context, client *caller.Client, nodes []string) (status entry.Status, err error) {
+	for _, node := range nodes {
+		if status, err = client.Status(ctx, node); err == nil {
+			return status, nil
+		}
+	}
+	return status, fmt.Errorf("no node answers, name one with --node: %w", err)
+}
+
+// askEach asks every member itself, so that the generation is what is in force
+// there and not hearsay.
+func askEach(ctx context.Context, client *caller.Client, status entry.Status) []nodeLine {
+	lines := make([]nodeLine, 0, len(status.Members))
+	for _, m := range status.Members {
+		line := nodeLine{Node: m.Name, Domain: m.Domain, State: m.State, URL: m.URL}
+		askCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+		own, err := client.Status(askCtx, m.URL)
+		cancel()
+		if err != nil {
+			line.Problem = "does not answer"
+		}
+		line.Generation, line.InFlight = own.Generation, own.InFlight
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func printStatus(c *cli.Command, lines []nodeLine) error {
+	table := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "NODE\tDOMAIN\tSTATE\tGENERATION\tIN FLIGHT\tURL\tPROBLEM")
+	for _, l := range lines {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%s\t%s\n",
+			l.Node, l.Domain, l.State, l.Generation, l.InFlight, l.URL, l.Problem)
+	}
+	return table.Flush()
+}
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -180,8 +180,10 @@
 		name := r.PathValue("endpoint")
 		current := s.parts.Config.Current()
 		if current == nil {
-			s.fail(w, problem{status: http.StatusServiceUnavailable, outcome: route.NotRun, retry: time.Second,
-				text: "no configuration is in force at this node yet"})
+			s.fail(w, problem{
+				status: http.StatusServiceUnavailable, outcome: route.NotRun, retry: time.Second,
+				text: "no configuration is in force at this node yet",
+			})
 			return
 		}
 		if _, ok := current.Set().Endpoint(name); !ok {
--- a/permit/place.go
+++ b/permit/place.go
@@ -65,8 +65,10 @@
 )
 
 func newPlace(e specs.Endpoint, window int) *place {
-	return &place{name: e.Name(), url: e.URL(), limit: float64(window), window: float64(window), born: time.Now(),
-		started: make(map[*Grant]time.Time)}
+	return &place{
+		name: e.Name(), url: e.URL(), limit: float64(window), window: float64(window), born: time.Now(),
+		started: make(map[*Grant]time.Time),
+	}
 }
 
 func (p *place) report(report Report) {
--- a/steps/record.go
+++ b/steps/record.go
@@ -146,7 +146,7 @@
 func (r Request) digest() string {
 	sum := sha256.New()
 	for _, g := range r.Groups {
-		fmt.Fprintf(sum, "%q %q\n", g.Group, g.Prompt)
+		_, _ = fmt.Fprintf(sum, "%q %q\n", g.Group, g.Prompt)
 	}
 	return hex.EncodeToString(sum.Sum(nil)[:digestBytes])
 }
