--- a/caller/tokens.go
+++ b/caller/tokens.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	maxLine        = 64 << 20
-	initialLine    = 64 << 10
-	requestID      = "Request-Id"
-	requestTimeout = "Request-Timeout"
+	maxLine           = 64 << 20
+	initialLine       = 64 << 10
+	requestID         = "Request-Id"
+	requestTimeout    = "Request-Timeout"
+	requestIdempotent = "Request-Idempotent"
 )
 
 type (
@@ -93,11 +94,27 @@
 	return answer, err
 }
 
-// Plain sends one request to a plain service and returns the whole answer.
+// Plain sends one request to a plain service, as idempotent as the service is
+// declared, and returns the whole answer.
 func (c *Client) Plain(ctx context.Context, base, service, path, id string, body []byte) ([]byte, error) {
+	return c.plain(ctx, base+"/v1/services/"+service+"/call/"+path, plainHeader(id), body)
+}
+
+// PlainIdempotent is Plain for a request that may run more than once.
+func (c *Client) PlainIdempotent(ctx context.Context, base, service, path, id string, body []byte) ([]byte, error) {
+	header := plainHeader(id)
+	header.Set(requestIdempotent, "true")
+	return c.plain(ctx, base+"/v1/services/"+service+"/call/"+path, header, body)
+}
+
+func plainHeader(id string) http.Header {
 	header := make(http.Header)
 	header.Set(requestID, id)
-	response, err := c.post(ctx, base+"/v1/services/"+service+"/call/"+path, header, body)
+	return header
+}
+
+func (c *Client) plain(ctx context.Context, address string, header http.Header, body []byte) ([]byte, error) {
+	response, err := c.post(ctx, address, header, body)
 	if err != nil {
 		return nil, err
 	}
