fix(object): a node that the platform does not answer goes through another

Cause: a trainer whose keeper alone was cut from the platform got 503 until its deadline, though every other node reached it: TestPlatformCutFromOneNode failed with 'step 1: 503 not_ready: reading the step's record: platform unavailable' after 25 s.

Ruled out: choosing another keeper by a fact about reachability, which moves the work without helping claims and fencing numbers at the same node.

Change: reads and conditional writes fall back to one call through a node of another failure domain; while that works it is taken first.

In a whole outage each call costs one more between nodes.

--- a/node/node.go
+++ b/node/node.go
@@ -84,12 +84,12 @@
 		logger:   logger,
 		machine:  chart.MustLoad("node").Start(),
 		meter:    meter.New(),
-		platform: object.NewClient(settings.Platform(), object.WithBudget(perSecond, burst)),
 		store:    facts.NewStore(),
 		pool:     peers.NewPool(),
 		client:   engine.NewClient(),
 		drain:    make(chan struct{}, 1),
 	}
+	n.platform = object.NewClient(settings.Platform(), object.WithBudget(perSecond, burst), object.WithDetour(n.detour))
 	n.members = member.New(member.Config{
 		Self: &wirepb.Member{
 			Name:        settings.Name(),
--- a/object/client.go
+++ b/object/client.go
@@ -29,6 +29,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/currantloft/currantloft/wirepb"
 )
 
 const (
@@ -71,12 +73,18 @@
 		base    string
 		http    *http.Client
 		limiter *rate.Limiter
+		detour  Detour
+		until   atomic.Int64
 		reads   atomic.Int64
 		writes  atomic.Int64
 		watches atomic.Int64
 		lastOK  atomic.Int64
 	}
 
+	// Detour makes a call through another node. A status of 0 means that the
+	// platform gave no answer there either.
+	Detour func(context.Context, *wirepb.PlatformCall) (*wirepb.PlatformReply, error)
+
 	// Option changes a client's defaults.
 	Option func(*Client)
 )
@@ -86,6 +94,12 @@
 	return func(c *Client) { c.limiter = rate.NewLimiter(rate.Limit(perSecond), burst) }
 }
 
+// WithDetour lets the client go through another node while the platform does
+// not answer it directly.
+func WithDetour(detour Detour) Option {
+	return func(c *Client) { c.detour = detour }
+}
+
 // NewClient returns a client of the platform at the base address.
 func NewClient(base string, options ...Option) *Client {
 	c := &Client{
@@ -130,7 +144,7 @@
 // Get reads an object.
 func (c *Client) Get(ctx context.Context, kind, name string) (Value, error) {
 	c.reads.Add(1)
-	return c.call(ctx, http.MethodGet, c.address(kind, name, nil), nil, nil, callTimeout)
+	return c.either(ctx, &wirepb.PlatformCall{Method: http.MethodGet, Kind: kind, Name: name})
 }
 
 // Put writes an object if it still has the given version; 0 creates it.
@@ -141,15 +155,16 @@
 		return 0, fmt.Errorf("object %s/%s has %d bytes, the platform takes %d", kind, name, len(body), MaxValue)
 	}
 	c.writes.Add(1)
-	header := http.Header{ifVersionHeader: {strconv.FormatUint(version, 10)}}
-	value, err := c.call(ctx, http.MethodPut, c.address(kind, name, nil), header, body, callTimeout)
+	value, err := c.either(ctx, &wirepb.PlatformCall{
+		Method: http.MethodPut, Kind: kind, Name: name, IfVersion: version, Body: body,
+	})
 	return value.version, err
 }
 
 // Delete removes an object; a missing one is no error.
 func (c *Client) Delete(ctx context.Context, kind, name string) error {
 	c.writes.Add(1)
-	_, err := c.call(ctx, http.MethodDelete, c.address(kind, name, nil), nil, nil, callTimeout)
+	_, err := c.either(ctx, &wirepb.PlatformCall{Method: http.MethodDelete, Kind: kind, Name: name})
 	if errors.Is(err, ErrNotFound) {
 		return nil
 	}
@@ -163,7 +178,7 @@
 	query := url.Values{}
 	query.Set("above", strconv.FormatUint(above, 10))
 	query.Set("wait", watchWait.String())
-	value, err := c.call(ctx, http.MethodGet, c.address(kind, name, query), nil, nil, watchWait+watchMargin)
+	value, err := c.call(ctx, http.MethodGet, c.address(kind, name, query), make(http.Header), nil, watchWait+watchMargin)
 	if err != nil {
 		return Value{}, false, err
 	}
@@ -178,6 +193,16 @@
 	return address
 }
 
+// direct makes a call without a detour.
+func (c *Client) direct(ctx context.Context, call *wirepb.PlatformCall) (Value, error) {
+	header := make(http.Header)
+	if call.GetMethod() == http.MethodPut {
+		header.Set(ifVersionHeader, strconv.FormatUint(call.GetIfVersion(), 10))
+	}
+	address := c.address(call.GetKind(), call.GetName(), nil)
+	return c.call(ctx, call.GetMethod(), address, header, call.GetBody(), callTimeout)
+}
+
 func (c *Client) call(
 	ctx context.Context, method, address string, header http.Header, body []byte, timeout time.Duration,
 ) (Value, error) {
@@ -190,9 +215,7 @@
 	if err != nil {
 		return Value{}, fmt.Errorf("building a platform call: %w", err)
 	}
-	for key, values := range header {
-		request.Header[key] = values
-	}
+	request.Header = header
 	response, err := c.http.Do(request)
 	if err != nil {
 		c.http.CloseIdleConnections()
@@ -208,17 +231,23 @@
 		return Value{}, fmt.Errorf("reading from the platform: %w", errors.Join(ErrUnavailable, err))
 	}
 	version, _ := strconv.ParseUint(response.Header.Get(versionHeader), 10, 64)
-	switch response.StatusCode {
-	case http.StatusOK, http.StatusNotModified, http.StatusNoContent:
+	value, err := judge(response.StatusCode, version, data)
+	if !errors.Is(err, ErrUnavailable) {
 		c.lastOK.Store(time.Now().UnixNano())
-		return Value{body: data, version: version}, nil
+	}
+	return value, err
+}
+
+// judge turns a status of the platform into a result.
+func judge(status int, version uint64, body []byte) (Value, error) {
+	switch status {
+	case http.StatusOK, http.StatusNotModified, http.StatusNoContent:
+		return Value{body: body, version: version}, nil
 	case http.StatusNotFound:
-		c.lastOK.Store(time.Now().UnixNano())
 		return Value{}, ErrNotFound
 	case http.StatusConflict:
-		c.lastOK.Store(time.Now().UnixNano())
 		return Value{}, &ConflictError{Version: version}
 	default:
-		return Value{}, fmt.Errorf("platform answered %s: %w", response.Status, ErrUnavailable)
+		return Value{}, fmt.Errorf("platform answered %d: %w", status, ErrUnavailable)
 	}
 }
