--- /dev/null
+++ b/steps/decide_test.go
@@ -0,0 +1,209 @@
+package steps
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/currantloft/currantloft/fakes/objapi"
+	"github.com/currantloft/currantloft/object"
+)
+
+func TestDecide(t *testing.T) {
+	sealed := Record{Step: 5, Attempt: 2, State: stateSealed, Request: "r"}
+	open := Record{Step: 5, Attempt: 3, State: stateOpen, Request: "r"}
+	cases := map[string]struct {
+		record  Record
+		exists  bool
+		step    uint64
+		request string
+		want    decision
+	}{
+		"no record":                {step: 7, request: "r", want: sampleStep{attempt: 1}},
+		"the sealed step":          {record: sealed, exists: true, step: 5, request: "r", want: deliverStep{}},
+		"the next step":            {record: sealed, exists: true, step: 6, request: "x", want: sampleStep{attempt: 1}},
+		"a step opened again":      {record: open, exists: true, step: 5, request: "r", want: sampleStep{attempt: 3}},
+		"ahead of an open step":    {record: open, exists: true, step: 6, request: "r", want: refuseStep{expected: 5}},
+		"another step's groups":    {record: sealed, exists: true, step: 5, request: "x", want: refuseStep{expected: 5}},
+		"a step that is gone":      {record: sealed, exists: true, step: 4, request: "r", want: refuseStep{expected: 6}},
+		"a step far in the future": {record: sealed, exists: true, step: 8, request: "r", want: refuseStep{expected: 6}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assertDecision(t, decide(c.record, c.exists, c.step, c.request), c.want) })
+	}
+}
+
+func assertDecision(t *testing.T, got, want decision) {
+	t.Helper()
+	if r, ok := got.(refuseStep); ok {
+		if r.reason == "" {
+			t.Error("a refusal without a reason")
+		}
+		r.reason = ""
+		got = r
+	}
+	if got != want {
+		t.Errorf("got %#v, want %#v", got, want)
+	}
+}
+
+// keeperModel is one node that may believe to be the trainer's keeper.
+type keeperModel struct {
+	record  Record
+	version uint64
+	made    *Record
+	base    uint64
+}
+
+// world is a trainer, several keepers and one platform, moved by random events.
+type world struct {
+	t        *rapid.T
+	client   *object.Client
+	ctx      context.Context
+	platform *objapi.Platform
+	keepers  []*keeperModel
+	step     uint64
+	made     int
+	whole    map[uint64]string
+	sealed   map[string]string
+}
+
+// open does what Keeper.open does: read, decide, begin a sample set or deliver.
+func (w *world) open(k *keeperModel, step uint64) {
+	var record Record
+	version, err := object.GetRecord(w.ctx, w.client, recordKind, "t", &record)
+	if err == nil {
+		k.record, k.version = record, version
+	}
+	switch d := decide(k.record, k.version > 0, step, "r").(type) {
+	case sampleStep:
+		w.made++
+		k.base = k.version
+		k.made = &Record{
+			OperationID: fmt.Sprint("op-", w.made), Step: step, Attempt: d.attempt,
+			State: stateSealed, Request: "r", Digest: fmt.Sprint("digest-", w.made),
+		}
+	case deliverStep:
+		w.deliver(k.record)
+	case refuseStep:
+		if step == w.step && d.expected > step && w.whole[step] == "" {
+			w.t.Fatalf("step %d was refused as gone and never delivered: %s", step, d.reason)
+		}
+	}
+}
+
+// seal does what Keeper.seal does.
+func (w *world) seal(k *keeperModel) {
+	if k.made == nil {
+		return
+	}
+	made := *k.made
+	k.made = nil
+	version, err := object.PutRecord(w.ctx, w.client, recordKind, "t", made, k.base)
+	if err != nil {
+		return
+	}
+	id := fmt.Sprintf("%d/%d", made.Step, made.Attempt)
+	if before, ok := w.sealed[id]; ok && before != made.Digest {
+		w.t.Fatalf("step/attempt %s was sealed as %s and as %s", id, before, made.Digest)
+	}
+	w.sealed[id] = made.Digest
+	k.record, k.version = made, version
+	w.deliver(made)
+}
+
+// supersede does what Keeper.supersede does with what the keeper last knew.
+func (w *world) supersede(k *keeperModel) {
+	if k.record.State != stateSealed || w.whole[k.record.Step] != "" {
+		return
+	}
+	w.made++
+	next := k.record
+	next.OperationID, next.State, next.Attempt = fmt.Sprint("op-", w.made), stateOpen, k.record.Attempt+1
+	version, err := object.PutRecord(w.ctx, w.client, recordKind, "t", next, k.version)
+	if err == nil {
+		k.record, k.version = next, version
+	}
+}
+
+// deliver hands a sealed set to the trainer, who may lose the connection.
+func (w *world) deliver(record Record) {
+	if record.Step != w.step || !rapid.Bool().Draw(w.t, "whole") {
+		return
+	}
+	if got := w.whole[record.Step]; got != "" && got != record.Digest {
+		w.t.Fatalf("step %d was delivered whole as %s and as %s", record.Step, got, record.Digest)
+	}
+	w.whole[record.Step] = record.Digest
+}
+
+func TestStepsExactlyOnceProperty(t *testing.T) {
+	platform, err := objapi.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer platform.Close()
+	client := object.NewClient(platform.URL(), object.WithBudget(1e9, 1e9))
+	defer client.Close()
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{
+			t: t, client: client, ctx: context.Background(), platform: platform, step: 1,
+			whole: make(map[uint64]string), sealed: make(map[string]string),
+		}
+		if err := client.Delete(w.ctx, recordKind, "t"); err != nil && !errors.Is(err, object.ErrNotFound) {
+			t.Fatal(err)
+		}
+		for range 3 {
+			w.keepers = append(w.keepers, &keeperModel{})
+		}
+		keeper := func() *keeperModel { return w.keepers[rapid.IntRange(0, 2).Draw(t, "keeper")] }
+		t.Repeat(map[string]func(*rapid.T){
+			"ask":       func(*rapid.T) { w.open(keeper(), w.step) },
+			"ask late":  func(*rapid.T) { w.open(keeper(), max(1, w.step-1)) },
+			"seal":      func(*rapid.T) { w.seal(keeper()) },
+			"supersede": func(*rapid.T) { w.supersede(keeper()) },
+			"die": func(*rapid.T) {
+				*keeper() = keeperModel{}
+			},
+			"lose an answer": func(*rapid.T) {
+				platform.SetFaults(objapi.Faults{LoseAnswers: 1})
+				w.seal(keeper())
+				platform.SetFaults(objapi.Faults{})
+			},
+			"next": func(*rapid.T) {
+				if w.whole[w.step] != "" {
+					w.step++
+				}
+			},
+		})
+	})
+}
+
+func FuzzParseRequest(f *testing.F) {
+	f.Add([]byte(`{"groups":[{"group":"g","prompt":"p"}]}`))
+	f.Add([]byte(`{"groups":[{"group":"a/b"},{"group":""}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		request, err := ParseRequest(body, testTrainer(t))
+		if err == nil && (len(request.Groups) == 0 || len(request.Groups) > 8) {
+			t.Errorf("accepted %d groups", len(request.Groups))
+		}
+	})
+}
+
+func TestEncodeGroups(t *testing.T) {
+	groups := []Group{{Group: "a", Samples: []Sample{{ID: "1", Text: "x"}}}, {Group: "b", Samples: []Sample{{ID: "2"}}}}
+	chunks, digest, err := encodeGroups(groups)
+	if err != nil || len(chunks) != 1 {
+		t.Fatalf("got %d chunks, %v", len(chunks), err)
+	}
+	back, err := decodeGroups(chunks[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, again, _ := encodeGroups(back); again != digest {
+		t.Errorf("digest %s became %s", digest, again)
+	}
+}
