--- a/entry/answer.go
+++ b/entry/answer.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/finds"
 	"github.com/currantloft/currantloft/route"
 )
@@ -80,6 +83,9 @@
 	}
 	w.WriteHeader(p.status)
 	_ = json.NewEncoder(w).Encode(p.body())
+	if p.outcome == route.NotRun {
+		event.RequestNotRun.Log(s.parts.Logger, zap.String("request", p.request), zap.String("reason", p.text))
+	}
 	s.parts.Scope.Tagged(map[string]string{"outcome": string(p.outcome)}).Counter("requests_failed").Inc(1)
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -42,9 +42,8 @@
 	ConfigRefused     = define(301, "config_refused", zapcore.ErrorLevel)
 	ConfigWatchFailed = define(302, "config_watch_failed", zapcore.WarnLevel)
 
-	RequestNotRun   = define(400, "request_not_run", zapcore.InfoLevel)
+	RequestNotRun   = define(400, "request_not_run", zapcore.DebugLevel)
 	RequestUnknown  = define(401, "request_outcome_unknown", zapcore.WarnLevel)
-	StreamSilent    = define(402, "stream_silent", zapcore.WarnLevel)
 	StreamResumed   = define(403, "stream_resumed", zapcore.InfoLevel)
 	RequestSuspect  = define(404, "request_suspect", zapcore.WarnLevel)
 	RequestBarred   = define(405, "request_quarantined", zapcore.ErrorLevel)
--- a/route/route.go
+++ b/route/route.go
@@ -261,6 +261,10 @@
 	follower := engine.NewRelay(x.client, place.URL(), request, x.job.Progress, place.Incarnation(), x.emit)
 	fate, err := follower.Run(ctx)
 	x.result.resumes += follower.Resumes()
+	if follower.Resumes() > 0 {
+		event.StreamResumed.Log(x.logger, zap.String("stream", request.Stream),
+			zap.String("endpoint", place.Endpoint()), zap.Int("resumes", follower.Resumes()))
+	}
 	x.note(machine, fate)
 	place.Done(permit.Result{
 		Outcome: outcomeOf(fate, err),
