--- a/demo/declare.go
+++ b/demo/declare.go
@@ -30,6 +30,11 @@
 	Fencing string
 	// Window bounds requests in flight at one endpoint.
 	Window int
+	// Spread is the number of the samplers' failure domains, named d0 and on; 0
+	// for the four domains a to d.
+	Spread int
+	// QuotesShare lets the quote service draw from the rollout pool.
+	QuotesShare bool
 	// Extra lines are appended to each trainer.
 	Extra string
 }
@@ -42,12 +47,16 @@
 	fmt.Fprintf(&pools, "[pool quotes]\nserve = 1\nwindow = %d\n", orElse(d.Window, 8))
 	for i, e := range s.samplers {
 		fmt.Fprintf(&pools, "[endpoint sampler-%d]\npool = rollout\nurl = %s\ndomain = %s\nfencing = %s\n",
-			i+1, e.URL(), Domain(i), orText(d.Fencing, "checked"))
+			i+1, e.URL(), Size{Domains: d.Spread}.DomainOf(i), orText(d.Fencing, "checked"))
 	}
 	for i, e := range s.quotes {
 		fmt.Fprintf(&pools, "[endpoint quote-%d]\npool = quotes\nurl = %s\ndomain = %s\n", i+1, e.URL(), Domain(i))
 	}
-	fmt.Fprintf(&services, "[service quote]\npool = quotes\ntimeout = 5s\nprogress_timeout = 500ms\n")
+	quotePool := "quotes"
+	if d.QuotesShare {
+		quotePool = "rollout"
+	}
+	fmt.Fprintf(&services, "[service quote]\npool = %s\ntimeout = 5s\nprogress_timeout = 500ms\n", quotePool)
 	if len(s.plains) > 0 {
 		fmt.Fprintf(&services, "[service billing]\nidempotent = false\ntimeout = 5s\nprogress_timeout = 500ms\n")
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -44,6 +44,10 @@
 		Heartbeat time.Duration
 		// Engine is what the samplers are like.
 		Engine model.Options
+		// Domains and Regions say how the nodes spread, 0 for four and one.
+		Domains int
+		// Regions is the number of regions.
+		Regions int
 	}
 
 	// StandIns are the outside systems of a fleet.
@@ -69,6 +73,8 @@
 		Name string
 		// Domain is its failure domain.
 		Domain string
+		// Region is its region, empty for the only one.
+		Region string
 		// PeerPort and HTTPPort are its ports on 127.0.0.1.
 		PeerPort int
 		// HTTPPort is the port for callers.
@@ -139,6 +145,22 @@
 	return urls
 }
 
+// DomainOf returns the failure domain of the i-th node.
+func (s Size) DomainOf(i int) string {
+	if s.Domains == 0 {
+		return Domain(i)
+	}
+	return fmt.Sprintf("d%d", i%s.Domains)
+}
+
+// RegionOf returns the region of the i-th node.
+func (s Size) RegionOf(i int) string {
+	if s.Regions == 0 {
+		return ""
+	}
+	return fmt.Sprintf("r%d", i%s.Domains%s.Regions)
+}
+
 // Domain returns the failure domain of the i-th thing of a kind.
 func Domain(i int) string { return domains[i%len(domains) : i%len(domains)+1] }
 
@@ -252,9 +274,14 @@
 	if heartbeat == 0 {
 		heartbeat = time.Second
 	}
+	region := n.Region
+	if region == "" {
+		region = "main"
+	}
 	return fmt.Appendf(nil, `[node]
 name = %s
 domain = %s
+region = %s
 [listen]
 ip = 127.0.0.1
 peer_port = %d
@@ -266,7 +293,7 @@
 [timing]
 address_lifetime = %s
 heartbeat = %s
-`, n.Name, n.Domain, n.PeerPort, n.HTTPPort, strings.Join(n.Seeds, ","), n.Platform, lifetime, heartbeat)
+`, n.Name, n.Domain, region, n.PeerPort, n.HTTPPort, strings.Join(n.Seeds, ","), n.Platform, lifetime, heartbeat)
 }
 
 // FreePorts returns loopback ports that nobody listens on now.
--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -120,6 +120,7 @@
 		lagged      engine.Status
 		laggedAt    time.Time
 		crashes     int
+		lastStart   time.Time
 		cacheHits   int
 		orders      []engine.Order
 		wake        chan struct{}
@@ -230,6 +231,13 @@
 	return e.cacheHits
 }
 
+// LastStart returns when the engine last let a stream in.
+func (e *Engine) LastStart() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastStart
+}
+
 // Records returns the engine's own account of every stream.
 func (e *Engine) Records() map[string]Record {
 	e.mu.Lock()
--- a/fakes/model/stream.go
+++ b/fakes/model/stream.go
@@ -136,6 +136,7 @@
 		http.Error(w, "the stream id is taken", http.StatusConflict)
 		return
 	}
+	e.lastStart = time.Now()
 	e.streams[request.Stream] = s
 	e.records[request.Stream] = &Record{}
 	e.waiting = append(e.waiting, s)
--- /dev/null
+++ b/integ/bench_test.go
@@ -0,0 +1,304 @@
+package integ
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantloft/currantloft/demo"
+	"github.com/currantloft/currantloft/fakes/model"
+	"github.com/currantloft/currantloft/fakes/objapi"
+	"github.com/currantloft/currantloft/loads"
+	"github.com/currantloft/currantloft/plots"
+)
+
+const (
+	runTime     = 10 * time.Second
+	userGroups  = 16
+	userSamples = 8
+	userTokens  = 64
+	userRate    = 40
+	thinkTime   = 100 * time.Millisecond
+)
+
+// userSize is what the first users have today.
+var userSize = demo.Size{
+	Nodes: 8, Samplers: 10, Quotes: 4, Plains: 4, Heartbeat: time.Second,
+	Engine: model.Options{Version: 1, Token: 2 * time.Millisecond},
+}
+
+// userSet declares two trainers on the pool that the portal uses as well.
+func userSet() demo.Declaration {
+	return demo.Declaration{
+		Serve: 1, Stage: 2, Trainers: []string{"cabling", "faults"}, Groups: userGroups, Samples: userSamples,
+		MaxTokens: userTokens, MaxBehind: 1, Extra: "over_sample = 0",
+	}
+}
+
+func userPlan(f *fleet) loads.Plan {
+	plan := loads.Plan{Nodes: f.urls(), Domain: "a", Duration: runTime, Seed: 1, Callers: &loads.Callers{
+		Service: "quote", PerSecond: userRate, MaxTokens: 32, Prompts: 50, Timeout: 5 * time.Second,
+	}}
+	for _, name := range userSet().Trainers {
+		plan.Trainers = append(plan.Trainers, loads.Trainer{
+			Name: name, FirstStep: 1, Groups: userGroups, Samples: userSamples, MaxTokens: userTokens, Think: thinkTime,
+		})
+	}
+	return plan
+}
+
+// direct turns a plan into the plain baseline on the same engines.
+func direct(plan loads.Plan, engines []*model.Engine) loads.Plan {
+	for _, e := range engines {
+		plan.Direct = append(plan.Direct, e.URL())
+	}
+	return plan
+}
+
+// keepReports writes tables of several runs into one file.
+func keepReports(b *testing.B, name string, text string) {
+	b.Helper()
+	if err := os.WriteFile(filepath.Join(figures, name+".txt"), []byte(text), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	b.Log("\n" + text)
+}
+
+func table(b *testing.B, title string, f *fleet, plan loads.Plan) string {
+	b.Helper()
+	report, err := loads.Run(f.ctx, plan)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var out strings.Builder
+	fmt.Fprintf(&out, "## %s\n", title)
+	if err := report.WriteTable(&out); err != nil {
+		b.Fatal(err)
+	}
+	return out.String()
+}
+
+// BenchmarkTrainersUnderFaults compares idle time and staleness fault-free and
+// with each fault, and with the plain baseline, in one run. It writes
+// docs/figures/trainers.txt.
+func BenchmarkTrainersUnderFaults(b *testing.B) {
+	faults := []struct {
+		name string
+		fail func(f *fleet)
+	}{
+		{name: "fault-free", fail: func(*fleet) {}},
+		{name: "a node is killed", fail: func(f *fleet) { f.kill(f.nodes[3]) }},
+		{name: "a node is frozen for 4 s", fail: func(f *fleet) { freeze(f, f.nodes[2], 4*time.Second) }},
+		{name: "a sampler crashes", fail: func(f *fleet) { f.Samplers()[0].Crash() }},
+		{name: "connections of two samplers go silent", fail: func(f *fleet) {
+			f.Samplers()[0].SetFaults(model.Faults{Hush: true})
+			f.Samplers()[1].SetFaults(model.Faults{Hush: true})
+		}},
+		{name: "one sampler is ten times slower", fail: func(f *fleet) { f.Samplers()[0].SetFaults(model.Faults{Slow: 10}) }},
+		{name: "platform down for 3 s", fail: func(f *fleet) {
+			f.Platform().SetFaults(objapi.Faults{Down: true})
+			time.AfterFunc(3*time.Second, func() { f.Platform().SetFaults(objapi.Faults{}) })
+		}},
+		{name: "weights change", fail: func(f *fleet) {
+			d := userSet()
+			d.Serve = 2
+			f.apply(d)
+		}},
+	}
+	var out strings.Builder
+	for range b.N {
+		f := newFleet(b, userSize, time.Minute)
+		f.apply(userSet())
+		plan := direct(userPlan(f), f.Samplers())
+		plan.Callers = nil
+		out.WriteString(table(b, "baseline: each sample straight to a sampler at random, not scored, not sealed", f, plan))
+		for _, fault := range faults {
+			f := newFleet(b, userSize, time.Minute)
+			f.apply(userSet())
+			timer := time.AfterFunc(runTime/3, func() { fault.fail(f) })
+			out.WriteString(table(b, fault.name, f, userPlan(f)))
+			timer.Stop()
+		}
+	}
+	keepReports(b, "trainers", out.String())
+}
+
+// BenchmarkStragglers measures step completion with 5% of streams ten times
+// slower, against the baseline. It writes docs/figures/stragglers.txt.
+func BenchmarkStragglers(b *testing.B) {
+	var out strings.Builder
+	for range b.N {
+		for _, percent := range []int{0, 5} {
+			size := userSize
+			size.Engine.StragglerPercent = percent
+			f := newFleet(b, size, time.Minute)
+			f.apply(userSet())
+			plan := userPlan(f)
+			plan.Callers = nil
+			out.WriteString(table(b, fmt.Sprintf("%d%% stragglers, direct baseline", percent), f, direct(plan, f.Samplers())))
+			out.WriteString(table(b, fmt.Sprintf("%d%% stragglers, currantloft", percent), f, plan))
+		}
+	}
+	keepReports(b, "stragglers", out.String())
+}
+
+// BenchmarkInteractive measures interactive latency straight to the endpoints,
+// through nodes, with a trainers' full load beside it on the same pool, and in
+// overload. It writes docs/figures/interactive.txt.
+func BenchmarkInteractive(b *testing.B) {
+	var out strings.Builder
+	for range b.N {
+		f := newFleet(b, userSize, 3*time.Minute)
+		d := userSet()
+		d.QuotesShare = true
+		f.apply(d)
+		alone := userPlan(f)
+		alone.Trainers = nil
+		out.WriteString(table(b, "callers alone, straight to the samplers", f, direct(alone, f.Samplers())))
+		out.WriteString(table(b, "callers alone, through nodes", f, alone))
+		out.WriteString(table(b, "callers beside two trainers at full load, straight to the samplers", f, direct(userPlan(f), f.Samplers())))
+		out.WriteString(table(b, "callers beside two trainers at full load, through nodes", f, userPlan(f)))
+		// 10 samplers of 8 streams at about 2.3 ms a token make 32 tokens in about 75 ms.
+		capacity := float64(len(f.Samplers())*8) / 0.060
+		for _, factor := range []float64{0.5, 1.5, 3} {
+			over := alone
+			callers := *alone.Callers
+			callers.PerSecond, callers.Timeout = factor*capacity, time.Second
+			over.Callers = &callers
+			title := fmt.Sprintf("callers at %.1f times the capacity of about %.0f/s, limit 1 s", factor, capacity)
+			out.WriteString(table(b, title+", straight to the samplers", f, direct(over, f.Samplers())))
+			out.WriteString(table(b, title+", through nodes", f, over))
+		}
+	}
+	keepReports(b, "interactive", out.String())
+}
+
+// BenchmarkSeal measures a step of 4,096 samples from its last sample to the
+// trainer, and what it writes. It writes docs/figures/seal.txt.
+func BenchmarkSeal(b *testing.B) {
+	const groups, samples, tokens = 512, 8, 32
+	var out strings.Builder
+	for range b.N {
+		size := userSize
+		size.Samplers = 32
+		size.Engine = model.Options{Version: 1, Token: time.Millisecond, Batch: 32, Chunk: 16}
+		f := newFleet(b, size, 2*time.Minute)
+		d := demo.Declaration{
+			Serve: 1, Trainers: []string{trainer}, Groups: groups, Samples: samples, MaxTokens: tokens, MaxBehind: 1,
+			Window: 32,
+		}
+		f.apply(d)
+		for step := range uint64(3) {
+			before := f.Platform().Counts()
+			begun := time.Now()
+			got, err := f.client.Step(f.ctx, trainer, step+1, loads.Prompts(trainer, step+1, groups))
+			if err != nil {
+				b.Fatal(err)
+			}
+			after := f.Platform().Counts()
+			fmt.Fprintf(&out, "step %d: %d samples whole after %s, %d platform writes, %d bytes written\n", step+1,
+				got.Summary().Samples, time.Since(begun).Round(time.Millisecond), after.Writes-before.Writes, after.Bytes-before.Bytes)
+		}
+		for _, n := range f.nodes {
+			for line := range strings.Lines(readFile(n.log)) {
+				if strings.Contains(line, "step_sealed") {
+					fmt.Fprintf(&out, "%s: %s", n.name, line)
+				}
+			}
+		}
+	}
+	keepReports(b, "seal", out.String())
+}
+
+func readFile(path string) string {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
+
+// BenchmarkForceAndLeave measures, over 30 runs each, the time until a change is
+// in force everywhere and until a leaving endpoint gets no new work. It writes
+// docs/figures/force_and_leave.*.
+func BenchmarkForceAndLeave(b *testing.B) {
+	const runs = 30
+	figure := plots.New("force_and_leave", "run", "ms")
+	for range b.N {
+		f := newFleet(b, userSize, 5*time.Minute)
+		f.apply(userSet())
+		q := f.startQuotes(4)
+		for i := range runs {
+			d := userSet()
+			d.MaxTokens = 100 + i
+			begun := time.Now()
+			f.apply(d)
+			figure.Add("apply to in force at 8 nodes", float64(i+1), millis(time.Since(begun)))
+			figure.Add("leaving to last new stream", float64(i+1), millis(f.leaveOnce(f.Quotes()[0])))
+		}
+		q.finish(b, 1)
+	}
+	if err := figure.Write(figures); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// leaveOnce makes an engine leave for a while and returns how long after that
+// it still got new streams.
+func (f *fleet) leaveOnce(e *model.Engine) time.Duration {
+	begun := time.Now()
+	e.SetFaults(model.Faults{Leaving: true})
+	time.Sleep(2 * time.Second)
+	last := e.LastStart()
+	e.SetFaults(model.Faults{})
+	time.Sleep(1500 * time.Millisecond)
+	return max(0, last.Sub(begun))
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// BenchmarkTokenPath measures tokens a second and processor time per million
+// tokens through one node and straight from the engine, in one run. It writes
+// docs/figures/token_path.txt.
+func BenchmarkTokenPath(b *testing.B) {
+	const tokens = 2000
+	var out strings.Builder
+	for range b.N {
+		size := demo.Size{Nodes: 2, Samplers: 1, Quotes: 4, Plains: 1}
+		size.Engine = model.Options{Version: 1, Token: 100 * time.Microsecond, Batch: 64, Chunk: 1, FixedLength: true}
+		f := newFleet(b, size, 2*time.Minute)
+		d := declared
+		d.Window = 64
+		f.apply(d)
+		plan := loads.Plan{Nodes: f.urls()[:1], Duration: 5 * time.Second, Callers: &loads.Callers{
+			Service: "quote", PerSecond: 20, MaxTokens: tokens, Prompts: 1000, Timeout: 5 * time.Second,
+		}}
+		before := cpuOf(f)
+		report, err := loads.Run(f.ctx, plan)
+		if err != nil {
+			b.Fatal(err)
+		}
+		spent := cpuOf(f) - before
+		made := report.Callers.TokensPerSecond * float64(report.WallMs) / 1000
+		fmt.Fprintf(&out, "through nodes: %.0f tokens/s, %.2f s of processor per million tokens at the nodes, outcomes %v, p50 %.0f ms\n",
+			report.Callers.TokensPerSecond, spent/made*1e6, report.Callers.Outcomes, report.Callers.LatencyMs.P50)
+		straight, err := loads.Run(f.ctx, direct(plan, f.Quotes()))
+		if err != nil {
+			b.Fatal(err)
+		}
+		fmt.Fprintf(&out, "straight: %.0f tokens/s, outcomes %v, p50 %.0f ms\n",
+			straight.Callers.TokensPerSecond, straight.Callers.Outcomes, straight.Callers.LatencyMs.P50)
+	}
+	keepReports(b, "token_path", out.String())
+}
+
+func cpuOf(f *fleet) float64 {
+	total := 0.0
+	for _, n := range f.nodes {
+		total += cpuSeconds(n.cmd.Process.Pid)
+	}
+	return total
+}
--- a/integ/check_test.go
+++ b/integ/check_test.go
@@ -41,7 +41,7 @@
 func newLedger() *ledger { return &ledger{seen: make(map[string]bool)} }
 
 // take checks a whole step: groups whole, ids new, labels true, scores right.
-func (l *ledger) take(t *testing.T, got caller.Step, asked []steps.GroupRequest, samples int, served, behind uint64) {
+func (l *ledger) take(t testing.TB, got caller.Step, asked []steps.GroupRequest, samples int, served, behind uint64) {
 	t.Helper()
 	if len(got.Groups()) != len(asked) {
 		t.Fatalf("got %d groups, want %d", len(got.Groups()), len(asked))
@@ -89,7 +89,7 @@
 	return ""
 }
 
-func assertStatus(t *testing.T, err error, status int) {
+func assertStatus(t testing.TB, err error, status int) {
 	t.Helper()
 	var refused *caller.Error
 	if !errors.As(err, &refused) || refused.Status() != status {
--- a/integ/fleet_test.go
+++ b/integ/fleet_test.go
@@ -37,7 +37,7 @@
 	// fleet is a set of real node processes and stand-ins.
 	fleet struct {
 		*demo.StandIns
-		t      *testing.T
+		t      testing.TB
 		ctx    context.Context
 		nodes  []*process
 		client *caller.Client
@@ -63,7 +63,13 @@
 // startFleet starts stand-ins and node processes and waits until all answer.
 func startFleet(t *testing.T, size demo.Size) *fleet {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	return newFleet(t, size, testTimeout)
+}
+
+// newFleet is startFleet for tests and benchmarks, with a limit of its own.
+func newFleet(t testing.TB, size demo.Size, limit time.Duration) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	t.Cleanup(cancel)
 	stands, err := demo.StartStandIns(size)
 	if err != nil {
@@ -79,7 +85,7 @@
 	dir := t.TempDir()
 	for i := range size.Nodes {
 		f.addNode(dir, demo.NodeFile{
-			Name: fmt.Sprintf("node-%d", i+1), Domain: demo.Domain(i), PeerPort: ports[2*i], HTTPPort: ports[2*i+1],
+			Name: fmt.Sprintf("node-%d", i+1), Domain: size.DomainOf(i), Region: size.RegionOf(i), PeerPort: ports[2*i], HTTPPort: ports[2*i+1],
 			Seeds: seeds, Lifetime: size.Lifetime, Heartbeat: size.Heartbeat,
 		})
 	}
--- a/integ/request_test.go
+++ b/integ/request_test.go
@@ -72,7 +72,7 @@
 }
 
 // finish stops the callers and checks that none was left without an answer.
-func (q *quotes) finish(t *testing.T, least int) {
+func (q *quotes) finish(t testing.TB, least int) {
 	t.Helper()
 	q.stop()
 	q.tasks.Wait()
@@ -274,7 +274,7 @@
 	}
 }
 
-func assertNotRun(t *testing.T, err error) {
+func assertNotRun(t testing.TB, err error) {
 	t.Helper()
 	var refused *caller.Error
 	if !errors.As(err, &refused) || refused.Outcome() != "not_run" || refused.RetryAfter() <= 0 {
--- /dev/null
+++ b/integ/scale_test.go
@@ -0,0 +1,187 @@
+package integ
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/currantloft/currantloft/active"
+	"github.com/currantloft/currantloft/demo"
+	"github.com/currantloft/currantloft/fakes/model"
+	"github.com/currantloft/currantloft/plots"
+)
+
+const (
+	figures          = "../docs/figures"
+	targetDomains    = 11
+	targetRegions    = 4
+	endpointsPerNode = 11
+	ticksPerSecond   = 100
+	settleTime       = 6 * time.Second
+	measureTime      = 15 * time.Second
+	changes          = 8
+)
+
+// usage is what a set of processes has used.
+type usage struct {
+	cpu    float64
+	rss    float64
+	bytes  float64
+	frames float64
+}
+
+// BenchmarkControlScale measures what a node spends on control as the fleet and
+// its endpoints grow alike, without load, and how long a change takes to come
+// into force. It writes docs/figures/control_*.
+func BenchmarkControlScale(b *testing.B) {
+	cpu := plots.New("control_cpu", "nodes", "percent of a core per node")
+	rss := plots.New("control_memory", "nodes", "MB per node")
+	bytes := plots.New("control_bytes", "nodes", "KB per second per node")
+	force := plots.New("control_in_force", "nodes", "ms from acceptance to the last node")
+	for range b.N {
+		for _, nodes := range []int{8, 16, 32, 64} {
+			b.Run(strconv.Itoa(nodes), func(b *testing.B) {
+				measureScale(b, nodes, cpu, rss, bytes, force)
+			})
+		}
+	}
+	for _, f := range []*plots.Figure{cpu, rss, bytes, force} {
+		if err := f.Write(figures); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func measureScale(b *testing.B, nodes int, cpu, rss, bytes, force *plots.Figure) {
+	f := startScale(b, nodes, endpointsPerNode*nodes)
+	time.Sleep(settleTime)
+	idle := f.during(measureTime, func() {})
+	x := float64(nodes)
+	cpu.Add("idle", x, 100*idle.cpu)
+	rss.Add("idle", x, idle.rss)
+	bytes.Add("loopback, all headers", x, idle.bytes)
+	bytes.Add("heartbeats and facts", x, idle.frames)
+	busy := f.during(measureTime, func() { f.applyOften(force, x) })
+	cpu.Add(fmt.Sprintf("a change every %.1f s", (measureTime/changes).Seconds()), x, 100*busy.cpu)
+	bytes.Add("with changes", x, busy.bytes)
+	rss.Add("with changes", x, busy.rss)
+	b.ReportMetric(100*idle.cpu, "%core/node")
+	b.ReportMetric(idle.rss, "MB/node")
+	b.ReportMetric(idle.bytes, "KB/s/node")
+	b.ReportMetric(0, "ns/op")
+}
+
+// startScale starts a fleet with the target's domains and regions.
+func startScale(b *testing.B, nodes, endpoints int) *fleet {
+	b.Helper()
+	f := newFleet(b, demo.Size{
+		Nodes: nodes, Samplers: endpoints, Quotes: 1, Plains: 1, Engine: model.Options{Version: 1},
+		Domains: targetDomains, Regions: targetRegions,
+	}, 5*time.Minute)
+	d := declared
+	d.Spread = targetDomains
+	request := active.Request{OperationID: "scale", Files: f.Files(d)}
+	applied, err := f.client.Apply(f.ctx, f.nodes[0].url, request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.base = applied.Generation
+	if err := f.client.AwaitGeneration(f.ctx, f.urls(), f.base); err != nil {
+		b.Fatal(err)
+	}
+	return f
+}
+
+// during measures what a node used on the average while work ran.
+func (f *fleet) during(d time.Duration, work func()) usage {
+	before, begun := f.used(), time.Now()
+	work()
+	time.Sleep(d - time.Since(begun))
+	after, wall := f.used(), time.Since(begun).Seconds()
+	n := float64(len(f.nodes))
+	return usage{
+		cpu:    (after.cpu - before.cpu) / wall / n,
+		rss:    after.rss / n,
+		bytes:  (after.bytes - before.bytes) / wall / n / 1000,
+		frames: (after.frames - before.frames) / wall / n / 1000,
+	}
+}
+
+func (f *fleet) used() usage {
+	u := usage{bytes: loopbackBytes()}
+	for _, n := range f.nodes {
+		pid := n.cmd.Process.Pid
+		u.cpu += cpuSeconds(pid)
+		u.rss += residentMB(pid)
+		control := f.dump(n).Control
+		u.frames += float64(control.SentBytes)
+	}
+	return u
+}
+
+// applyOften applies small changes and notes how long each takes to be in force.
+func (f *fleet) applyOften(force *plots.Figure, x float64) {
+	for i := range changes {
+		begun := time.Now()
+		d := declared
+		d.Spread = targetDomains
+		d.MaxTokens = 100 + i
+		request := active.Request{OperationID: fmt.Sprint("often-", i), Base: f.base, Files: f.Files(d)}
+		applied, err := f.client.Apply(f.ctx, f.nodes[i%len(f.nodes)].url, request)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		accepted := time.Now()
+		f.base = applied.Generation
+		if err := f.client.AwaitGeneration(f.ctx, f.urls(), f.base); err != nil {
+			f.t.Fatal(err)
+		}
+		force.Add("with polling of all nodes", x, float64(time.Since(accepted).Microseconds())/1000)
+		time.Sleep(measureTime/changes - time.Since(begun))
+	}
+}
+
+// cpuSeconds reads the user and system time of a process.
+func cpuSeconds(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / ticksPerSecond
+}
+
+// residentMB reads the resident memory of a process.
+func residentMB(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(value)[0], 64)
+			return kb / 1000
+		}
+	}
+	return 0
+}
+
+// loopbackBytes reads what was sent over the loopback device.
+func loopbackBytes() float64 {
+	text, err := os.ReadFile("/proc/net/dev")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(line), "lo:"); ok {
+			sent, _ := strconv.ParseFloat(strings.Fields(value)[8], 64)
+			return sent
+		}
+	}
+	return 0
+}
