refactor(entry): one form of version ranges in all answers

Cause: the last line of a token answer left out first_token where it is 0, a special case in the page for clients.

Conclusion: one form; no behaviour else.

--- a/entry/tokens.go
+++ b/entry/tokens.go
@@ -18,6 +18,7 @@
 	"github.com/currantloft/currantloft/poison"
 	"github.com/currantloft/currantloft/route"
 	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/steps"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -48,7 +49,7 @@
 		// Count is the number of tokens in the answer.
 		Count int `json:"count"`
 		// Versions says which weight version made which tokens.
-		Versions []*wirepb.VersionRange `json:"versions"`
+		Versions []steps.Version `json:"versions"`
 		// Attempts counts the attempts that were made.
 		Attempts int `json:"attempts"`
 	}
@@ -113,7 +114,8 @@
 	}
 	s.parts.Scope.Counter("requests_answered").Inc(1)
 	out.end(TokenEnd{
-		Done: true, RequestID: a.id, Count: result.Tokens(), Versions: result.Versions(), Attempts: result.Attempts(),
+		Done: true, RequestID: a.id, Count: result.Tokens(), Versions: steps.VersionsOf(result.Versions()),
+		Attempts: result.Attempts(),
 	})
 }
 
--- a/steps/record.go
+++ b/steps/record.go
@@ -160,13 +160,20 @@
 		StartedAt: done.GetStartedUnixMs(),
 		Endpoint:  done.GetEndpoint(),
 		Stream:    done.GetStream(),
+		Versions:  VersionsOf(done.GetVersions()),
 	}
-	for _, r := range done.GetVersions() {
-		s.Versions = append(s.Versions, Version{
+	return s
+}
+
+// VersionsOf returns version ranges in the form of answers.
+func VersionsOf(ranges []*wirepb.VersionRange) []Version {
+	versions := make([]Version, 0, len(ranges))
+	for _, r := range ranges {
+		versions = append(versions, Version{
 			Version: r.GetVersion(), First: r.GetFirstToken(), Tokens: r.GetTokens(),
 		})
 	}
-	return s
+	return versions
 }
 
 // Stale returns why the sample may not be delivered to the trainer now, or "".
