feat(active): two watchers a region, packed values; status every 1.5 s

Cause: the first scale run (benchmark ControlScale) showed 10.2 KB/s a node at 32 nodes idle, and 44.9 KB/s with a change of configuration every 1.9 s; each of the two watchers in each of 11 domains got the whole value for every change. The run ended at 64 nodes: 'listen tcp 127.0.0.1:33601: address already in use', since test ports were taken from the range of outgoing connections.

Ruled out: parts of the configuration as objects of their own, which needs their removal to be organised; packing first.

--- a/active/active.go
+++ b/active/active.go
@@ -1,7 +1,7 @@
 // Package active keeps the configuration that is in force at a node.
 //
-// The whole applied set is one platform object. Two nodes of each failure
-// domain watch it; the others hear of a new generation by a fact and pull the
+// The whole applied set is one platform object. Two nodes of each region
+// watch it; the others hear of a new generation by a fact and pull the
 // files that they lack from the node that told them. A node never goes below a
 // generation that it has seen, and has none in force until it got one from the
 // platform or a peer.
@@ -16,9 +16,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +33,7 @@
 	"github.com/currantloft/currantloft/member"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/peers"
+	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/specs"
 	"github.com/currantloft/currantloft/wirepb"
 )
@@ -42,7 +45,7 @@
 	Name = "active"
 
 	factKey           = "config"
-	watchersPerDomain = 2
+	watchersPerRegion = 2
 	roleInterval      = time.Second
 	retryDelay        = 500 * time.Millisecond
 	pullTimeout       = 2 * time.Second
@@ -140,24 +143,24 @@
 	if _, err := specs.Parse(document.SpecFiles()); err != nil {
 		return 0, err
 	}
-	var found Document
+	var found stored
 	version, err := object.GetRecord(ctx, k.platform, Kind, Name, &found)
 	if err != nil {
 		return 0, fmt.Errorf("reading the configuration in force: %w", err)
 	}
 	if version > 0 && found.OperationID == request.OperationID {
-		return found.Generation, k.take(found)
+		return found.Generation, k.take(found.Document)
 	}
 	if found.Generation != request.Base {
-		return 0, &ConflictError{base: request.Base, found: found}
+		return 0, &ConflictError{base: request.Base, found: found.Document}
 	}
-	_, err = object.PutRecord(ctx, k.platform, Kind, Name, document, version)
+	_, err = object.PutRecord(ctx, k.platform, Kind, Name, stored{document}, version)
 	var conflict *object.ConflictError
 	if errors.As(err, &conflict) {
 		if _, readErr := object.GetRecord(ctx, k.platform, Kind, Name, &found); readErr != nil {
 			return 0, fmt.Errorf("reading the configuration that came first: %w", readErr)
 		}
-		return 0, &ConflictError{base: request.Base, found: found}
+		return 0, &ConflictError{base: request.Base, found: found.Document}
 	}
 	if err != nil {
 		return 0, fmt.Errorf("writing the configuration: %w", err)
@@ -171,7 +174,8 @@
 	if current == nil || current.Generation() < pull.GetAtLeast() {
 		return nil, false
 	}
-	return encode(current.Document(), pull.GetHave()), true
+	body, err := encode(current.Document(), pull.GetHave())
+	return body, err == nil
 }
 
 // take puts a document in force if it is newer than what is.
@@ -210,7 +214,7 @@
 	return nil
 }
 
-// followPlatform watches the object while this node is one of its domain's
+// followPlatform watches the object while this node is one of its region's
 // watchers, and reads it once at the start.
 func (k *Keeper) followPlatform(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -226,19 +230,20 @@
 	return nil
 }
 
-// watches reports whether this node is one of the watchers of its domain.
+// watches reports whether this node is one of the watchers of its region.
 func (k *Keeper) watches() bool {
 	view := k.members.View()
 	self, ok := view.Node(view.Self())
 	if !ok {
 		return true
 	}
-	for _, n := range view.Rank(factKey, self.Domain(), watchersPerDomain) {
-		if n.Name() == self.Name() {
-			return true
+	var names []string
+	for _, n := range view.Alive() {
+		if n.Region() == self.Region() {
+			names = append(names, n.Name())
 		}
 	}
-	return false
+	return slices.Contains(rendez.Top(factKey, names, watchersPerRegion), self.Name())
 }
 
 func (k *Keeper) watchOnce(ctx context.Context) error {
@@ -246,12 +251,12 @@
 	if err != nil || !changed {
 		return err
 	}
-	var document Document
-	if err := unmarshal(value.Body(), &document); err != nil {
-		return err
+	var document stored
+	if err := json.Unmarshal(value.Body(), &document); err != nil {
+		return fmt.Errorf("decoding the configuration: %w", err)
 	}
 	k.version.Store(value.Version())
-	return k.take(document)
+	return k.take(document.Document)
 }
 
 // followPeers pulls a generation that a fact names and this node lacks.
--- a/active/document.go
+++ b/active/document.go
@@ -1,17 +1,23 @@
 package active
 
 import (
+	"bytes"
+	"compress/gzip"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/currantloft/currantloft/specs"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
-const digestBytes = 12
+const (
+	digestBytes = 12
+	maxUnpacked = 16 << 20
+)
 
 type (
 	// Document is an applied configuration as the platform keeps it.
@@ -34,6 +40,22 @@
 		Body string `json:"body"`
 	}
 
+	// packedDocument is a document as the platform keeps it, its files packed.
+	packedDocument struct {
+		Generation  uint64       `json:"generation"`
+		OperationID string       `json:"operation"`
+		AppliedAt   int64        `json:"applied_unix_ms"`
+		Files       []packedFile `json:"files"`
+	}
+
+	packedFile struct {
+		Name string `json:"name"`
+		Gzip []byte `json:"gzip"`
+	}
+
+	// stored is a document on its way to or from the platform.
+	stored struct{ Document }
+
 	// Current is a configuration in force, parsed. It is immutable.
 	Current struct {
 		document Document
@@ -115,8 +137,62 @@
 // Since returns when the configuration came into force at this node.
 func (c *Current) Since() time.Time { return c.at }
 
+// MarshalJSON packs the files, since watchers get the whole value each time.
+func (s stored) MarshalJSON() ([]byte, error) {
+	packed := packedDocument{Generation: s.Generation, OperationID: s.OperationID, AppliedAt: s.AppliedAt}
+	for _, f := range s.Files {
+		body, err := pack(f.Body)
+		if err != nil {
+			return nil, err
+		}
+		packed.Files = append(packed.Files, packedFile{Name: f.Name, Gzip: body})
+	}
+	return json.Marshal(packed)
+}
+
+// UnmarshalJSON unpacks the files.
+func (s *stored) UnmarshalJSON(data []byte) error {
+	var packed packedDocument
+	if err := json.Unmarshal(data, &packed); err != nil {
+		return err
+	}
+	s.Document = Document{Generation: packed.Generation, OperationID: packed.OperationID, AppliedAt: packed.AppliedAt}
+	for _, f := range packed.Files {
+		body, err := unpack(f.Gzip)
+		if err != nil {
+			return err
+		}
+		s.Files = append(s.Files, DocumentFile{Name: f.Name, Body: body})
+	}
+	return nil
+}
+
+func pack(text string) ([]byte, error) {
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	if _, err := writer.Write([]byte(text)); err != nil {
+		return nil, fmt.Errorf("packing a file: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("packing a file: %w", err)
+	}
+	return packed.Bytes(), nil
+}
+
+func unpack(packed []byte) (string, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return "", fmt.Errorf("unpacking a file: %w", err)
+	}
+	text, err := io.ReadAll(io.LimitReader(reader, maxUnpacked))
+	if err != nil {
+		return "", fmt.Errorf("unpacking a file: %w", err)
+	}
+	return string(text), nil
+}
+
 // encode returns the document for a peer, leaving out bodies that it has.
-func encode(d Document, have []string) *wirepb.ConfigBody {
+func encode(d Document, have []string) (*wirepb.ConfigBody, error) {
 	known := make(map[string]bool, len(have))
 	for _, digest := range have {
 		known[digest] = true
@@ -129,11 +205,15 @@
 	for _, f := range d.Files {
 		file := &wirepb.ConfigFile{Name: f.Name, Digest: fileDigest(f)}
 		if !known[file.GetDigest()] {
-			file.Body = []byte(f.Body)
+			packed, err := pack(f.Body)
+			if err != nil {
+				return nil, err
+			}
+			file.Body = packed
 		}
 		body.Files = append(body.Files, file)
 	}
-	return body
+	return body, nil
 }
 
 // decode restores a document from a peer's answer and the files at hand.
@@ -148,9 +228,13 @@
 		AppliedAt:   body.GetAppliedUnixMs(),
 	}
 	for _, file := range body.GetFiles() {
-		f := DocumentFile{Name: file.GetName(), Body: string(file.GetBody())}
-		if known, ok := byDigest[file.GetDigest()]; ok {
-			f = known
+		f, known := byDigest[file.GetDigest()]
+		if !known {
+			text, err := unpack(file.GetBody())
+			if err != nil {
+				return Document{}, err
+			}
+			f = DocumentFile{Name: file.GetName(), Body: text}
 		}
 		if fileDigest(f) != file.GetDigest() {
 			return Document{}, fmt.Errorf("file %s of generation %d came incomplete", f.Name, d.Generation)
@@ -159,10 +243,3 @@
 	}
 	return d, nil
 }
-
-func unmarshal(body []byte, document *Document) error {
-	if err := json.Unmarshal(body, document); err != nil {
-		return fmt.Errorf("decoding the configuration: %w", err)
-	}
-	return nil
-}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -25,6 +26,10 @@
 	plainDelay = time.Millisecond
 
 	defaultLifetime = 500 * time.Millisecond
+
+	firstPort = 10_000
+	lastPort  = 30_000
+	portRange = 15_000
 )
 
 type (
@@ -296,26 +301,22 @@
 `, n.Name, n.Domain, region, n.PeerPort, n.HTTPPort, strings.Join(n.Seeds, ","), n.Platform, lifetime, heartbeat)
 }
 
-// FreePorts returns loopback ports that nobody listens on now.
+// FreePorts returns loopback ports that nobody listens on now. They lie below
+// the range that outgoing connections take their ports from.
 func FreePorts(n int) ([]int, error) {
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	ports := make([]int, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := firstPort + rand.IntN(portRange); len(ports) < n; port++ {
+		if port >= lastPort {
+			port = firstPort
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, fmt.Errorf("finding a free port: %w", err)
+			continue
 		}
-		listeners = append(listeners, l)
-		address, ok := l.Addr().(*net.TCPAddr)
-		if !ok {
-			return nil, fmt.Errorf("unexpected address %s", l.Addr())
+		if err := listener.Close(); err != nil {
+			return nil, fmt.Errorf("finding a free port: %w", err)
 		}
-		ports = append(ports, address.Port)
+		ports = append(ports, port)
 	}
 	return ports, nil
 }
--- a/weight/weight.go
+++ b/weight/weight.go
@@ -1,12 +1,12 @@
 // Package weight keeps the endpoints of a node's cells at the declared weight
 // versions and tells the cells which endpoints are ready.
 //
-// Each endpoint of an owned cell is asked for its status every second. A
+// Each endpoint of an owned cell is asked for its status every 1.5 seconds. A
 // version to be staged is loaded ahead, a bounded share of a cell at a time; a
 // version to be served is switched to, again a bounded share at a time, and
 // read back. Orders carry a fencing number that the node takes for the cell in
 // the platform. An endpoint that ignores fencing numbers may be changed by an
-// old order; the read-back of each second then repeats the declared one.
+// old order; the next read-back then repeats the declared one.
 //
 // An endpoint that doesn't know its version, after a switch that failed
 // partway, is out until it reports a known one.
@@ -36,7 +36,7 @@
 
 const (
 	reconcileInterval = time.Second
-	statusInterval    = time.Second
+	statusInterval    = 1500 * time.Millisecond
 	busyInterval      = 100 * time.Millisecond
 	maxPercent        = 100
 )
