--- a/demo/demo.go
+++ b/demo/demo.go
@@ -21,6 +21,7 @@
 	"github.com/currantloft/currantloft/caller"
 	"github.com/currantloft/currantloft/fakes/model"
 	"github.com/currantloft/currantloft/loads"
+	"github.com/currantloft/currantloft/steps"
 )
 
 const (
@@ -95,7 +96,7 @@
 	for _, name := range []string{"tickets", "forecast"} {
 		plan.Trainers = append(plan.Trainers, loads.Trainer{
 			Name: name, FirstStep: 1, Groups: demoGroups, Samples: demoSamples, MaxTokens: demoTokens,
-			Think: 200 * time.Millisecond,
+			Think: 200 * time.Millisecond, Label: trueLabel,
 		})
 	}
 	return plan
@@ -139,10 +140,11 @@
 		}
 		_, _ = fmt.Fprintf(out, "  %-58s %s\n", name, verdict)
 	}
-	doubled, short, idle := 0, 0, 0
+	doubled, short, idle, wrong := 0, 0, 0, 0
 	for _, t := range report.Trainers {
 		doubled += t.Doubled
 		short += t.Short
+		wrong += t.Mislabelled
 		if t.Steps < 3 || t.Problem != "" {
 			idle++
 		}
@@ -150,6 +152,7 @@
 	lost := report.Callers.Sent - report.Callers.Outcomes["answered"]
 	say("every quote answered whole", lost)
 	say("every sample delivered once", doubled)
+	say("every sample labelled with what truly made it", wrong)
 	say("every step delivered whole", short)
 	say("every trainer took at least 3 steps", idle)
 	say("every sampler serves the declared weights", otherVersion(fleet, nextVersion))
@@ -159,6 +162,21 @@
 	return nil
 }
 
+// trueLabel compares a sample's label with what its tokens say.
+func trueLabel(s steps.Sample) bool {
+	truth := model.TrueVersions(s.Text)
+	at := 0
+	for _, v := range s.Versions {
+		for range v.Tokens {
+			if at >= len(truth) || truth[at] != v.Version {
+				return false
+			}
+			at++
+		}
+	}
+	return at == len(truth)
+}
+
 func otherVersion(fleet *Fleet, version uint64) int {
 	n := 0
 	for _, e := range fleet.Samplers() {
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -22,6 +22,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/currantloft/currantloft/caller"
+	"github.com/currantloft/currantloft/steps"
 )
 
 const (
@@ -60,6 +61,8 @@
 		MaxTokens int
 		// Think is how long the trainer works on a step before it asks again.
 		Think time.Duration
+		// Label says whether a sample's label is true, nil if nobody can tell.
+		Label func(steps.Sample) bool
 	}
 
 	// Plan says what load to put on which nodes.
--- a/loads/report.go
+++ b/loads/report.go
@@ -63,6 +63,8 @@
 		AgeMs Quantiles `json:"age_ms"`
 		// Doubled counts sample ids that came twice in whole answers.
 		Doubled int `json:"doubled"`
+		// Mislabelled counts samples whose label was found untrue.
+		Mislabelled int `json:"mislabelled"`
 		// Short counts steps that lacked samples.
 		Short int `json:"short"`
 		// Problem is why the trainer stopped early.
--- a/loads/trainer.go
+++ b/loads/trainer.go
@@ -79,6 +79,9 @@
 				r.report.Doubled++
 			}
 			r.seen[s.ID] = true
+			if r.trainer.Label != nil && !r.trainer.Label(s) {
+				r.report.Mislabelled++
+			}
 			for _, v := range s.Versions {
 				newest = max(newest, v.Version)
 			}
