perf(permit): work out owned cells once a view; report metrics every 5 s

Cause: at each reconcile, twice a second, every node ranked all nodes for every cell, work that grows with nodes times cells; idle processor time grew from 0.49 percent of a core at 8 nodes to 1.06 at 64.

Ruled out by a profile of one of 64 nodes (60 ms of samples in 15 s, most of it in system calls): heartbeats' encoding and status requests' parsing.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -88,6 +88,8 @@
 		Seeds []string
 		// Platform is the base address of the object API.
 		Platform string
+		// Profile lets the node serve profiles of itself.
+		Profile bool
 		// Lifetime is how long callers keep an address answer, 0 for 500 ms.
 		Lifetime time.Duration
 		// Heartbeat is the heartbeat interval, 0 for 1 s.
@@ -287,6 +289,7 @@
 name = %s
 domain = %s
 region = %s
+profile = %t
 [listen]
 ip = 127.0.0.1
 peer_port = %d
@@ -298,7 +301,7 @@
 [timing]
 address_lifetime = %s
 heartbeat = %s
-`, n.Name, n.Domain, region, n.PeerPort, n.HTTPPort, strings.Join(n.Seeds, ","), n.Platform, lifetime, heartbeat)
+`, n.Name, n.Domain, region, n.Profile, n.PeerPort, n.HTTPPort, strings.Join(n.Seeds, ","), n.Platform, lifetime, heartbeat)
 }
 
 // FreePorts returns loopback ports that nobody listens on now. They lie below
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -71,6 +72,8 @@
 		Dump func() any
 		// Drain starts a planned stop.
 		Drain func()
+		// Profile serves profiles of the process under /debug/pprof/.
+		Profile bool
 		// AddressLifetime is how long a caller may keep an address answer.
 		AddressLifetime time.Duration
 		// Logger takes the events.
@@ -160,6 +163,10 @@
 	mux.HandleFunc("POST /v1/endpoints/{endpoint}/leaving", s.markEndpoint(true))
 	mux.HandleFunc("DELETE /v1/endpoints/{endpoint}/leaving", s.markEndpoint(false))
 	mux.Handle("GET /metrics", s.parts.Metrics)
+	if s.parts.Profile {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	return mux
 }
 
--- a/integ/fleet_test.go
+++ b/integ/fleet_test.go
@@ -87,6 +87,7 @@
 		f.addNode(dir, demo.NodeFile{
 			Name: fmt.Sprintf("node-%d", i+1), Domain: size.DomainOf(i), Region: size.RegionOf(i), PeerPort: ports[2*i], HTTPPort: ports[2*i+1],
 			Seeds: seeds, Lifetime: size.Lifetime, Heartbeat: size.Heartbeat,
+			Profile: os.Getenv("CURRANTLOFT_PROFILE") != "",
 		})
 	}
 	f.client = caller.New(f.urls(), "a")
--- a/integ/scale_test.go
+++ b/integ/scale_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -58,6 +60,7 @@
 func measureScale(b *testing.B, nodes int, cpu, rss, bytes, force *plots.Figure) {
 	f := startScale(b, nodes, endpointsPerNode*nodes)
 	time.Sleep(settleTime)
+	f.keepProfile(b)
 	idle := f.during(measureTime, func() {})
 	x := float64(nodes)
 	cpu.Add("idle", x, 100*idle.cpu)
@@ -74,6 +77,27 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// keepProfile writes a profile of one node if CURRANTLOFT_PROFILE names a folder.
+func (f *fleet) keepProfile(b *testing.B) {
+	b.Helper()
+	dir := os.Getenv("CURRANTLOFT_PROFILE")
+	if dir == "" {
+		return
+	}
+	response, err := http.Get(f.nodes[0].url + "/debug/pprof/profile?seconds=15")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := os.WriteFile(fmt.Sprintf("%s/cpu-%d.pprof", dir, len(f.nodes)), data, 0o600); err != nil {
+		b.Fatal(err)
+	}
+}
+
 // startScale starts a fleet with the target's domains and regions.
 func startScale(b *testing.B, nodes, endpoints int) *fleet {
 	b.Helper()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -22,7 +22,7 @@
 
 const (
 	prefix         = "currantloft"
-	reportInterval = time.Second
+	reportInterval = 5 * time.Second
 )
 
 // Meter holds the metrics of a process.
--- a/node/node.go
+++ b/node/node.go
@@ -117,7 +117,7 @@
 		Config: n.config, Members: n.members, Pool: n.pool, Desk: n.desk, Runner: n.runner, Client: n.client,
 		Ward: n.ward, Claims: claim.New(n.platform, settings.Name(), logger), Steps: n.steps,
 		Scope: n.meter.Scope(), Metrics: n.meter.Handler(), Dump: n.Dump, Drain: n.Drain,
-		AddressLifetime: settings.AddressLifetime(), Logger: logger,
+		Profile: settings.Profile(), AddressLifetime: settings.AddressLifetime(), Logger: logger,
 	})
 	return n, nil
 }
--- a/permit/desk.go
+++ b/permit/desk.go
@@ -34,9 +34,18 @@
 		pool    *peers.Pool
 		logger  *zap.Logger
 
-		mu    sync.Mutex
-		cells map[string]*Cell
-		loads map[string]seenLoad
+		mu         sync.Mutex
+		cells      map[string]*Cell
+		loads      map[string]seenLoad
+		owned      ownership
+		configured *active.Current
+	}
+
+	// ownership is which cells fell to this node by a view and a configuration.
+	ownership struct {
+		view    *member.View
+		current *active.Current
+		names   []string
 	}
 
 	// Permit is a place at an endpoint, given out here or by another node.
@@ -126,18 +135,22 @@
 
 // Owned returns the names of the cells that this node is to keep.
 func (d *Desk) Owned() []string {
-	current := d.config.Current()
+	current, view := d.config.Current(), d.members.View()
 	if current == nil {
 		return nil
 	}
-	view := d.members.View()
-	var names []string
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.owned.view == view && d.owned.current == current {
+		return d.owned.names
+	}
+	d.owned = ownership{view: view, current: current}
 	for _, cell := range current.Cells() {
 		if ranked := view.Rank(cell.Name(), cell.Domain(), 1); len(ranked) > 0 && ranked[0].Name() == view.Self() {
-			names = append(names, cell.Name())
+			d.owned.names = append(d.owned.names, cell.Name())
 		}
 	}
-	return names
+	return d.owned.names
 }
 
 // Reconcile takes over a changed configuration and drops cells that this node
@@ -157,12 +170,14 @@
 	for name, cell := range d.cells {
 		spec, ok := current.Cell(name)
 		idle := cell.Load().InFlight == 0 && time.Since(cell.IdleSince()) > idleCellLife
-		if !ok || (!owned[name] && idle) {
+		switch {
+		case !ok || (!owned[name] && idle):
 			delete(d.cells, name)
-			continue
+		case d.configured != current:
+			cell.Configure(layoutOf(current.Set(), spec))
 		}
-		cell.Configure(layoutOf(current.Set(), spec))
 	}
+	d.configured = current
 }
 
 func layoutOf(set *specs.Set, cell specs.Cell) Layout {
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -52,6 +52,7 @@
 		addressLifetime time.Duration
 		drainTimeout    time.Duration
 		logLevel        string
+		profile         bool
 	}
 
 	// reader takes typed values out of a file and collects findings.
@@ -63,7 +64,7 @@
 )
 
 var known = map[string][]string{
-	"node":     {"name", "domain", "region", "data_dir", "log_level"},
+	"node":     {"name", "domain", "region", "data_dir", "log_level", "profile"},
 	"listen":   {"ip", "http_port", "peer_port"},
 	"peers":    {"seeds"},
 	"platform": {"url", "calls_per_second", "burst"},
@@ -93,6 +94,7 @@
 		region:          r.text("node", "region", "main"),
 		dataDir:         doc.Section("node").Key("data_dir").String(),
 		logLevel:        r.text("node", "log_level", "info"),
+		profile:         doc.Section("node").Key("profile").MustBool(false),
 		ip:              r.text("listen", "ip", ""),
 		httpPort:        r.port("listen", "http_port", defaultHTTPPort),
 		peerPort:        r.port("listen", "peer_port", defaultPeerPort),
@@ -126,6 +128,9 @@
 // LogLevel returns the lowest level that is logged.
 func (n *Node) LogLevel() string { return n.logLevel }
 
+// Profile reports whether the node serves profiles of itself.
+func (n *Node) Profile() bool { return n.profile }
+
 // HTTPAddress returns where callers, trainers and operators connect.
 func (n *Node) HTTPAddress() string { return net.JoinHostPort(n.ip, strconv.Itoa(n.httpPort)) }
 
