perf(engine): join lines that have come already

Cause: a profile of the token path (one token a line, 1.41 s of samples in 2 s) spends a third in system calls, a third in scheduling, 13 percent in decoding; each line is read, decoded, encoded and flushed by itself.

Ruled out: holding tokens back for a few milliseconds; at 7 ms between tokens of a stream nothing would be joined and every token be late.

--- a/engine/client.go
+++ b/engine/client.go
@@ -101,6 +101,8 @@
 		response *http.Response
 		reader   *bufio.Reader
 		cancel   context.CancelFunc
+		held     *Chunk
+		heldErr  error
 	}
 
 	// NotRunError says that the engine did not run the request.
@@ -266,8 +268,38 @@
 }
 
 // Next returns the next chunk; io.EOF never stands for a whole answer, a chunk
-// with Done does.
+// with Done does. Lines that have come already are joined into one chunk.
 func (s *Stream) Next() (Chunk, error) {
+	chunk, err := s.take()
+	for err == nil && !chunk.Done && s.lineReady() {
+		next, nextErr := s.line()
+		if nextErr != nil || next.Version != chunk.Version || next.First != chunk.First+len(chunk.Tokens) {
+			s.held, s.heldErr = &next, nextErr
+			break
+		}
+		chunk.Tokens = append(chunk.Tokens, next.Tokens...)
+		chunk.Done = next.Done
+	}
+	return chunk, err
+}
+
+// take returns the chunk that was read too far, or the next one.
+func (s *Stream) take() (Chunk, error) {
+	if s.held == nil {
+		return s.line()
+	}
+	chunk, err := *s.held, s.heldErr
+	s.held, s.heldErr = nil, nil
+	return chunk, err
+}
+
+// lineReady reports whether a whole line can be read without waiting.
+func (s *Stream) lineReady() bool {
+	waiting, _ := s.reader.Peek(s.reader.Buffered())
+	return bytes.IndexByte(waiting, '\n') >= 0
+}
+
+func (s *Stream) line() (Chunk, error) {
 	line, err := s.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		line, err = s.longLine(line)
--- a/integ/bench_test.go
+++ b/integ/bench_test.go
@@ -282,6 +282,7 @@
 			b.Fatal(err)
 		}
 		spent := cpuOf(f) - before
+		f.keepProfileOf(b, 2, plan)
 		made := report.Callers.TokensPerSecond * float64(report.WallMs) / 1000
 		fmt.Fprintf(&out, "through nodes: %.0f tokens/s, %.2f s of processor per million tokens at the nodes, outcomes %v, p50 %.0f ms\n",
 			report.Callers.TokensPerSecond, spent/made*1e6, report.Callers.Outcomes, report.Callers.LatencyMs.P50)
@@ -295,6 +296,24 @@
 	keepReports(b, "token_path", out.String())
 }
 
+// keepProfileOf writes a profile of the first node under the plan's load, if
+// CURRANTLOFT_PROFILE names a folder.
+func (f *fleet) keepProfileOf(b *testing.B, seconds int, plan loads.Plan) {
+	b.Helper()
+	if os.Getenv("CURRANTLOFT_PROFILE") == "" {
+		return
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := loads.Run(f.ctx, plan)
+		done <- err
+	}()
+	f.keepProfile(b, seconds)
+	if err := <-done; err != nil {
+		b.Fatal(err)
+	}
+}
+
 func cpuOf(f *fleet) float64 {
 	total := 0.0
 	for _, n := range f.nodes {
--- a/integ/scale_test.go
+++ b/integ/scale_test.go
@@ -60,7 +60,7 @@
 func measureScale(b *testing.B, nodes int, cpu, rss, bytes, force *plots.Figure) {
 	f := startScale(b, nodes, endpointsPerNode*nodes)
 	time.Sleep(settleTime)
-	f.keepProfile(b)
+	f.keepProfile(b, 15)
 	idle := f.during(measureTime, func() {})
 	x := float64(nodes)
 	cpu.Add("idle", x, 100*idle.cpu)
@@ -78,13 +78,13 @@
 }
 
 // keepProfile writes a profile of one node if CURRANTLOFT_PROFILE names a folder.
-func (f *fleet) keepProfile(b *testing.B) {
+func (f *fleet) keepProfile(b *testing.B, seconds int) {
 	b.Helper()
 	dir := os.Getenv("CURRANTLOFT_PROFILE")
 	if dir == "" {
 		return
 	}
-	response, err := http.Get(f.nodes[0].url + "/debug/pprof/profile?seconds=15")
+	response, err := http.Get(fmt.Sprintf("%s/debug/pprof/profile?seconds=%d", f.nodes[0].url, seconds))
 	if err != nil {
 		b.Fatal(err)
 	}
