fix(permit,steps,member): idle cells, keepers that moved, all nodes leaving

Tests: TestUnheardEndpointsAreRefusedSoon and TestRankWhileAllLeave pass; they were written with the change and not run without it.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -84,6 +84,8 @@
 		PeerPort int
 		// HTTPPort is the port for callers.
 		HTTPPort int
+		// Advertised is the peer address that others are told, empty for its own.
+		Advertised string
 		// Seeds are peer addresses.
 		Seeds []string
 		// Platform is the base address of the object API.
@@ -294,6 +296,7 @@
 ip = 127.0.0.1
 peer_port = %d
 http_port = %d
+advertised_peer = %s
 [peers]
 seeds = %s
 [platform]
@@ -301,7 +304,7 @@
 [timing]
 address_lifetime = %s
 heartbeat = %s
-`, n.Name, n.Domain, region, n.Profile, n.PeerPort, n.HTTPPort, strings.Join(n.Seeds, ","), n.Platform, lifetime, heartbeat)
+`, n.Name, n.Domain, region, n.Profile, n.PeerPort, n.HTTPPort, n.Advertised, strings.Join(n.Seeds, ","), n.Platform, lifetime, heartbeat)
 }
 
 // FreePorts returns loopback ports that nobody listens on now. They lie below
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	maxConfigBody = 1 << 20
+	maxConfigBody = 16 << 20
 	outcomeClash  = route.Outcome("conflict")
 )
 
@@ -110,7 +110,7 @@
 	if err != nil || request.OperationID == "" {
 		s.fail(w, problem{
 			status: http.StatusBadRequest, outcome: route.NotRun,
-			text: "want JSON with operation, base and files, at most 1 MiB",
+			text: "want JSON with operation, base and files, at most 16 MiB",
 		})
 		return
 	}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -68,8 +69,10 @@
 	}
 }
 
-// fail sends an error answer.
+// fail sends an error answer. The time to come back is spread, so that callers
+// who were refused together don't come back together.
 func (s *Server) fail(w http.ResponseWriter, p problem) {
+	p.retry += rand.N(p.retry/2 + 1)
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(headerOutcome, string(p.outcome))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/permit"
 	"github.com/currantloft/currantloft/poison"
+	"github.com/currantloft/currantloft/retry"
 	"github.com/currantloft/currantloft/route"
 	"github.com/currantloft/currantloft/steps"
 )
@@ -89,6 +90,7 @@
 		inFlight flight.Counter
 		plain    *http.Client
 		fresh    *http.Client
+		budget   *retry.Budget
 		ids      *idSource
 		refusing chan struct{}
 		once     sync.Once
@@ -100,6 +102,7 @@
 	s := &Server{
 		parts:    parts,
 		ids:      newIDSource(parts.Members.View().Self()),
+		budget:   retry.NewBudget(),
 		refusing: make(chan struct{}),
 		plain:    newPlainClient(true),
 		fresh:    newPlainClient(false),
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -110,6 +110,7 @@
 
 // run makes attempts until one is answered or the request is given up.
 func (c *plainCall) run(ctx context.Context) (*plainAnswer, error) {
+	c.server.budget.First()
 	for attempt := 1; ; attempt++ {
 		answer, err := c.attempt(ctx)
 		if err == nil {
@@ -117,7 +118,7 @@
 		}
 		var final *route.Error
 		again := !errors.As(err, &final) && attempt < plainAttempts && ctx.Err() == nil &&
-			(c.asked.idempotent || !c.written)
+			(c.asked.idempotent || !c.written) && c.server.budget.Allow()
 		if again {
 			time.Sleep(retry.Delay(attempt))
 			continue
--- a/entry/step.go
+++ b/entry/step.go
@@ -14,6 +14,7 @@
 	"github.com/currantloft/currantloft/member"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/route"
+	"github.com/currantloft/currantloft/steps"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -23,7 +24,6 @@
 	keeperPause    = 200 * time.Millisecond
 	minProgress    = 100 * time.Millisecond
 	headerProgress = "Request-Progress"
-	keeperKeySpace = "step/"
 	outcomeWaiting = route.Outcome("not_ready")
 )
 
@@ -122,7 +122,7 @@
 // before its answer has begun is replaced by the next one.
 func (s *Server) carryStep(ctx context.Context, call *wirepb.StepCall, sink *httpSink) {
 	for {
-		keeper, ok := s.keeperOf(call.GetTrainer())
+		keeper, ok := steps.KeeperOf(s.parts.Members.View(), call.GetTrainer())
 		if ok && keeper.Name() == s.parts.Members.View().Self() {
 			s.parts.Steps.Serve(ctx, call, sink)
 			return
@@ -150,14 +150,6 @@
 	}
 }
 
-func (s *Server) keeperOf(trainer string) (member.Node, bool) {
-	ranked := s.parts.Members.View().Rank(keeperKeySpace+trainer, "", 1)
-	if len(ranked) == 0 {
-		return member.Node{}, false
-	}
-	return ranked[0], true
-}
-
 // forwardStep relays the call to another node. While the step is being made it
 // watches that the node is still the keeper.
 func (s *Server) forwardStep(ctx context.Context, keeper member.Node, call *wirepb.StepCall, sink *httpSink) error {
--- a/integ/config_test.go
+++ b/integ/config_test.go
@@ -154,7 +154,7 @@
 func TestPlatformCutFromOneNode(t *testing.T) {
 	f := startFleet(t, smallFleet)
 	f.apply(declared)
-	f.nodes[0].proxy.Stop()
+	f.nodes[0].platform.Stop()
 	d := declared
 	d.MaxTokens = 44
 	applied, err := f.client.Apply(f.ctx, f.nodes[1].url,
--- a/integ/fleet_test.go
+++ b/integ/fleet_test.go
@@ -23,15 +23,17 @@
 var binary string
 
 type (
-	// process is one node as a real process behind a proxy to the platform.
+	// process is one node as a real process; proxies stand between it and the
+	// platform, and between the other nodes and it.
 	process struct {
-		name  string
-		url   string
-		ini   string
-		log   string
-		cmd   *exec.Cmd
-		proxy *toxiproxy.Proxy
-		done  chan error
+		name     string
+		url      string
+		ini      string
+		log      string
+		cmd      *exec.Cmd
+		platform *toxiproxy.Proxy
+		peers    *toxiproxy.Proxy
+		done     chan error
 	}
 
 	// fleet is a set of real node processes and stand-ins.
@@ -101,21 +103,15 @@
 
 func (f *fleet) addNode(dir string, file demo.NodeFile) {
 	f.t.Helper()
-	quiet := zerolog.Nop()
-	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), quiet)
-	proxy := toxiproxy.NewProxy(server, file.Name, "127.0.0.1:0", f.Platform().URL()[len("http://"):])
-	if err := proxy.Start(); err != nil {
-		f.t.Fatal(err)
-	}
-	f.t.Cleanup(proxy.Stop)
-	file.Platform = "http://" + proxy.Listen
 	n := &process{
-		name:  file.Name,
-		url:   fmt.Sprintf("http://127.0.0.1:%d", file.HTTPPort),
-		ini:   filepath.Join(dir, file.Name+".ini"),
-		log:   filepath.Join(dir, file.Name+".log"),
-		proxy: proxy,
+		name:     file.Name,
+		url:      fmt.Sprintf("http://127.0.0.1:%d", file.HTTPPort),
+		ini:      filepath.Join(dir, file.Name+".ini"),
+		log:      filepath.Join(dir, file.Name+".log"),
+		platform: f.newProxy(f.Platform().URL()[len("http://"):]),
+		peers:    f.newProxy(fmt.Sprintf("127.0.0.1:%d", file.PeerPort)),
 	}
+	file.Platform, file.Advertised = "http://"+n.platform.Listen, n.peers.Listen
 	if err := os.WriteFile(n.ini, file.INI(), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -124,6 +120,18 @@
 	f.t.Cleanup(func() { f.reap(n) })
 }
 
+// newProxy starts a proxy in front of an address.
+func (f *fleet) newProxy(upstream string) *toxiproxy.Proxy {
+	f.t.Helper()
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(server, upstream, "127.0.0.1:0", upstream)
+	if err := proxy.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(proxy.Stop)
+	return proxy
+}
+
 // start runs the node's process.
 func (f *fleet) start(n *process) {
 	f.t.Helper()
--- a/integ/request_test.go
+++ b/integ/request_test.go
@@ -150,6 +150,12 @@
 			}
 		})
 	}
+	var taken []stepResult
+	tasks.Go(func() {
+		for ctx.Err() == nil {
+			taken = append(taken, <-f.ask(uint64(len(taken)+1)))
+		}
+	})
 	for _, n := range f.nodes {
 		n.signal(syscall.SIGTERM)
 		if err := f.awaitExit(n); err != nil {
@@ -161,6 +167,15 @@
 	}
 	stop()
 	tasks.Wait()
+	if len(taken) < 5 {
+		t.Errorf("the trainer got %d steps", len(taken))
+	}
+	l := newLedger()
+	for i, r := range taken {
+		results := make(chan stepResult, 1)
+		results <- r
+		f.take(l, results, uint64(i+1), 1)
+	}
 	if len(cut) > 0 {
 		t.Fatalf("%d requests had no whole answer: %v", len(cut), errors.Join(cut...))
 	}
@@ -355,3 +370,36 @@
 		})
 	}
 }
+
+func TestAllStopAtOnceCutsNothing(t *testing.T) {
+	f := startFleet(t, smallFleet)
+	f.apply(declared)
+	slowPlains(f, 2*time.Second)
+	var tasks sync.WaitGroup
+	errs := make([]error, 10)
+	for i := range errs {
+		tasks.Go(func() {
+			id := fmt.Sprint("late-", i)
+			_, errs[i] = f.client.Plain(f.ctx, f.nodes[i%len(f.nodes)].url, "billing", "x", id, []byte("{}"))
+		})
+	}
+	f.eventually("all requests run", func() bool {
+		n := 0
+		for i := range errs {
+			n += f.runs(fmt.Sprint("late-", i))
+		}
+		return n == len(errs)
+	})
+	for _, n := range f.nodes {
+		n.signal(syscall.SIGTERM)
+	}
+	for _, n := range f.nodes {
+		if err := f.awaitExit(n); err != nil {
+			t.Errorf("%s: %v", n.name, err)
+		}
+	}
+	tasks.Wait()
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/member/view.go
+++ b/member/view.go
@@ -89,11 +89,16 @@
 	return all
 }
 
-// Rank returns up to n alive nodes for the key, those of the domain first.
-// An empty domain ranks all nodes alike.
+// Rank returns up to n nodes for the key, those of the domain first. An empty
+// domain ranks all nodes alike. Alive nodes are ranked, or leaving ones while
+// no node is alive.
 func (v *View) Rank(key, domain string, n int) []Node {
+	candidates := v.alive
+	if len(candidates) == 0 {
+		candidates = v.running()
+	}
 	var near, far []string
-	for _, node := range v.alive {
+	for _, node := range candidates {
 		if domain == "" || node.Domain() == domain {
 			near = append(near, node.Name())
 		} else {
@@ -111,6 +116,17 @@
 	return ranked
 }
 
+// running returns the nodes that are alive or leaving.
+func (v *View) running() []Node {
+	var running []Node
+	for _, n := range v.All() {
+		if n.Running() {
+			running = append(running, n)
+		}
+	}
+	return running
+}
+
 // Watchers returns the nodes that send heartbeats to the given one.
 func (v *View) Watchers(target Node) []string {
 	var domain, region, other []string
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -77,3 +77,15 @@
 		t.Errorf("%d nodes for a domain without nodes, want 2", n)
 	}
 }
+
+func TestRankWhileAllLeave(t *testing.T) {
+	var all []Node
+	for i := range 3 {
+		all = append(all, Node{info: &wirepb.Member{
+			Name: fmt.Sprint(i), State: wirepb.MemberState_MEMBER_STATE_LEAVING,
+		}})
+	}
+	if n := len(newView("0", all).Rank("cell", "", 1)); n != 1 {
+		t.Errorf("%d nodes keep a cell while all leave, want 1", n)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 			Name:        settings.Name(),
 			Domain:      settings.Domain(),
 			Region:      settings.Region(),
-			PeerAddress: settings.PeerAddress(),
+			PeerAddress: settings.AdvertisedPeer(),
 			HttpAddress: settings.HTTPAddress(),
 		},
 		Seeds:    settings.Seeds(),
--- a/permit/cell_test.go
+++ b/permit/cell_test.go
@@ -163,6 +163,19 @@
 	}
 }
 
+func TestUnheardEndpointsAreRefusedSoon(t *testing.T) {
+	c := newTestCell(t, 1, 1, false)
+	c.places["e0"].ready, c.places["e0"].reported = false, false
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*unknownPatience)
+	defer cancel()
+	_, err := c.Acquire(ctx, ask(interactive, "q", 1))
+	var refused *RefusedError
+	if !errors.As(err, &refused) || time.Since(begun) > 3*unknownPatience {
+		t.Errorf("got %v after %s, want a refusal after %s", err, time.Since(begun), unknownPatience)
+	}
+}
+
 func TestAloneSharesWithNobody(t *testing.T) {
 	c := newTestCell(t, 2, 2, false)
 	a := ask(interactive, "q", 1)
--- /dev/null
+++ b/permit/policy_test.go
@@ -0,0 +1,292 @@
+package permit
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/currantloft/currantloft/engine"
+	"github.com/currantloft/currantloft/fakes/model"
+	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/wirepb"
+)
+
+const (
+	policyNodes     = 8
+	policyEndpoints = 10
+	policyWindow    = 8
+	policyTokens    = 32
+	policyTime      = 6 * time.Second
+	policyLimit     = time.Second
+	policyTrainers  = 120
+	reportLag       = 2 * time.Second
+)
+
+type (
+	// policy gives a place at an endpoint to a request that came to a node.
+	policy interface {
+		name() string
+		acquire(ctx context.Context, node int, ask Ask) (place int, done func(Result), err error)
+	}
+
+	// alone is way (a): each node takes the less loaded of two by reports that
+	// lag and by what it sent itself.
+	alone struct {
+		mu       sync.Mutex
+		reported [policyEndpoints]int
+		sent     [policyNodes][policyEndpoints]int
+	}
+
+	// split is way (b): each node has a fixed share of every endpoint's window.
+	split struct{ nodes [policyNodes]*Cell }
+
+	// keeper is way (c): one keeper a cell, four cells.
+	keeper struct{ cells []*Cell }
+
+	// random is the plain baseline.
+	random struct{}
+)
+
+func (*alone) name() string  { return "(a) each node alone" }
+func (*split) name() string  { return "(b) split windows" }
+func (*keeper) name() string { return "(c) a keeper a cell" }
+func (*random) name() string { return "baseline, random" }
+
+func (*random) acquire(context.Context, int, Ask) (int, func(Result), error) {
+	return rand.IntN(policyEndpoints), func(Result) {}, nil
+}
+
+func (a *alone) acquire(_ context.Context, node int, _ Ask) (int, func(Result), error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	best := rand.IntN(policyEndpoints)
+	if other := rand.IntN(policyEndpoints); a.load(node, other) < a.load(node, best) {
+		best = other
+	}
+	a.sent[node][best]++
+	return best, func(Result) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.sent[node][best]--
+	}, nil
+}
+
+func (a *alone) load(node, endpoint int) int { return a.reported[endpoint] + a.sent[node][endpoint] }
+
+// follow keeps the lagging reports up to date.
+func (a *alone) follow(ctx context.Context, client *engine.Client, engines []*model.Engine) {
+	for ctx.Err() == nil {
+		for i, e := range engines {
+			if status, err := client.Status(ctx, e.URL()); err == nil {
+				a.mu.Lock()
+				a.reported[i] = status.Running + status.Waiting
+				a.mu.Unlock()
+			}
+		}
+		time.Sleep(reportLag / 4)
+	}
+}
+
+func (s *split) acquire(ctx context.Context, node int, ask Ask) (int, func(Result), error) {
+	return acquireFrom(ctx, s.nodes[node], ask)
+}
+
+func (k *keeper) acquire(ctx context.Context, _ int, ask Ask) (int, func(Result), error) {
+	first, second := k.cells[rand.IntN(len(k.cells))], k.cells[rand.IntN(len(k.cells))]
+	if taken(second.Load()) < taken(first.Load()) {
+		first = second
+	}
+	return acquireFrom(ctx, first, ask)
+}
+
+func taken(l Load) float64 { return float64(l.Queued+l.InFlight) / float64(max(1, l.Capacity)) }
+
+func acquireFrom(ctx context.Context, c *Cell, ask Ask) (int, func(Result), error) {
+	grant, err := c.Acquire(ctx, ask)
+	if err != nil {
+		return 0, nil, err
+	}
+	var place int
+	_, _ = fmt.Sscanf(grant.Endpoint(), "e%d", &place)
+	return place, grant.Done, nil
+}
+
+// cellsOf returns n cells that share the endpoints out.
+func cellsOf(b *testing.B, n, window int) []*Cell {
+	b.Helper()
+	whole := newTestCell(b, policyEndpoints, window, true)
+	cells := make([]*Cell, n)
+	for i := range cells {
+		var part []specs.Endpoint
+		for j, e := range whole.layout.Endpoints {
+			if j%n == i {
+				part = append(part, e)
+			}
+		}
+		cells[i] = NewCell(fmt.Sprint(i))
+		cells[i].Configure(Layout{Endpoints: part, Window: window, Reserve: true})
+		for _, e := range part {
+			cells[i].Report(e.Name(), Report{Ready: true, Incarnation: 1})
+		}
+	}
+	return cells
+}
+
+// trial is one load on one policy.
+type trial struct {
+	policy  policy
+	client  *engine.Client
+	engines []*model.Engine
+
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram
+	sent     int
+	refused  int
+	inTime   int
+	samples  int
+	nextName int
+}
+
+// request runs one request to its end, false if it was refused or late.
+func (t *trial) request(ctx context.Context, priority wirepb.Priority, node int, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	place, done, err := t.policy.acquire(ctx, node, Ask{Priority: priority, Share: "s", Weight: 1, Deadline: deadline})
+	if err != nil {
+		return false
+	}
+	t.mu.Lock()
+	t.nextName++
+	id := fmt.Sprint("r", t.nextName)
+	t.mu.Unlock()
+	begun := time.Now()
+	relay := engine.NewRelay(t.client, t.engines[place].URL(), engine.Request{
+		Stream: id, Prompt: id, MaxTokens: policyTokens,
+	}, 10*time.Second, 0, func(engine.Chunk) error { return nil })
+	fate, _ := relay.Run(ctx)
+	outcome := wirepb.Outcome_OUTCOME_ANSWERED
+	if fate != engine.FateWhole {
+		outcome = wirepb.Outcome_OUTCOME_CANCELLED
+		t.client.Cancel(ctx, t.engines[place].URL(), id)
+	}
+	done(Result{Outcome: outcome, Run: time.Since(begun), Tokens: policyTokens})
+	return fate == engine.FateWhole
+}
+
+// run puts callers, open loop, and trainers, closed loop, on the policy.
+func (t *trial) run(perSecond float64, trainers int) string {
+	ctx, cancel := context.WithTimeout(context.Background(), policyTime)
+	defer cancel()
+	var tasks sync.WaitGroup
+	for i := range trainers {
+		tasks.Go(func() {
+			for ctx.Err() == nil {
+				if t.request(ctx, training, i%policyNodes, policyTime) {
+					t.mu.Lock()
+					t.samples++
+					t.mu.Unlock()
+				}
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for due := time.Now(); ctx.Err() == nil; due = due.Add(time.Duration(random.ExpFloat64() / perSecond * 1e9)) {
+		time.Sleep(time.Until(due))
+		at, node := due, random.IntN(policyNodes)
+		t.sent++
+		tasks.Go(func() {
+			ok := t.request(context.Background(), interactive, node, policyLimit)
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if !ok {
+				t.refused++
+				return
+			}
+			t.inTime++
+			_ = t.latency.RecordValue(time.Since(at).Microseconds())
+		})
+	}
+	tasks.Wait()
+	return fmt.Sprintf("%-22s sent %5d  in time %5.1f%%  p50 %6.1f ms  p99 %6.1f ms  samples/s %6.1f",
+		t.policy.name(), t.sent, 100*float64(t.inTime)/float64(t.sent), float64(t.latency.ValueAtQuantile(50))/1000,
+		float64(t.latency.ValueAtQuantile(99))/1000, float64(t.samples)/policyTime.Seconds())
+}
+
+// BenchmarkPolicies compares the ways of making order before engines that know
+// none, under the same load. It writes docs/figures/policies.txt.
+func BenchmarkPolicies(b *testing.B) {
+	// One token step of a full batch takes 2 ms * (1 + 0.02 * 8).
+	const answerTime = 24 * 2.32 / 1000
+	capacity := policyEndpoints * policyWindow / answerTime
+	cases := []struct {
+		name     string
+		factor   float64
+		trainers int
+		slow     bool
+	}{
+		{name: "callers at a quarter of the capacity beside trainers at full load", factor: 0.25, trainers: policyTrainers},
+		{name: "the same, one endpoint ten times slower", factor: 0.25, trainers: policyTrainers, slow: true},
+		{name: "callers at 1.5 times the capacity", factor: 1.5},
+		{name: "callers at 3 times the capacity", factor: 3},
+	}
+	var out strings.Builder
+	for range b.N {
+		for _, c := range cases {
+			fmt.Fprintf(&out, "## %s\n", c.name)
+			for _, make := range []func() policy{
+				func() policy { return &random{} },
+				func() policy { return &alone{} },
+				func() policy { return splitPolicy(b) },
+				func() policy { return &keeper{cells: cellsOf(b, 4, policyWindow)} },
+			} {
+				fmt.Fprintln(&out, runPolicy(b, make(), c.factor*capacity, c.trainers, c.slow))
+			}
+		}
+	}
+	if err := os.WriteFile("../docs/figures/policies.txt", []byte(out.String()), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	b.Log("\n" + out.String())
+}
+
+func splitPolicy(b *testing.B) *split {
+	b.Helper()
+	s := &split{}
+	for i := range s.nodes {
+		s.nodes[i] = cellsOf(b, 1, max(1, policyWindow/policyNodes))[0]
+	}
+	return s
+}
+
+func runPolicy(b *testing.B, p policy, perSecond float64, trainers int, slow bool) string {
+	b.Helper()
+	t := &trial{policy: p, client: engine.NewClient(), latency: hdrhistogram.New(1, 60_000_000, 3)}
+	defer t.client.Close()
+	for i := range policyEndpoints {
+		e, err := model.Start("127.0.0.1:0", model.Options{
+			Version: 1, Token: 2 * time.Millisecond, Batch: policyWindow, Chunk: 8, ReportLag: reportLag,
+		})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer e.Close()
+		if slow && i == 0 {
+			e.SetFaults(model.Faults{Slow: 10})
+		}
+		t.engines = append(t.engines, e)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if a, ok := p.(*alone); ok {
+		go a.follow(ctx, t.client, t.engines)
+	}
+	return t.run(perSecond, trainers)
+}
--- /dev/null
+++ b/permit/serve.go
@@ -0,0 +1,108 @@
+package permit
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/currantloft/currantloft/peers"
+	"github.com/currantloft/currantloft/wirepb"
+)
+
+func (d *Desk) Serve(ctx context.Context, call *wirepb.PermitCall, stream *peers.Stream) {
+	cell, ok := d.Cell(call.GetCell())
+	if !ok {
+		_ = stream.Refuse(&wirepb.Problem{
+			Text:         "cell " + call.GetCell() + " is not configured here",
+			NotRun:       true,
+			RetryAfterMs: defaultRetry.Milliseconds(),
+		})
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan Result, 1)
+	go func() {
+		defer cancel()
+		done <- awaitDone(stream)
+	}()
+	grant, err := acquireAloud(ctx, cell, askOf(call), stream)
+	if err != nil {
+		refuse(stream, err)
+		return
+	}
+	load := cell.Load()
+	reply := &wirepb.PermitReply{
+		Endpoint:    grant.Endpoint(),
+		Url:         grant.URL(),
+		Incarnation: grant.Incarnation(),
+		Queued:      uint32(load.Queued),
+		InFlight:    uint32(load.InFlight),
+		Capacity:    uint32(load.Capacity),
+	}
+	if err := stream.Send(&wirepb.Frame{Body: &wirepb.Frame_PermitReply{PermitReply: reply}}); err != nil {
+		grant.Done(Result{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN})
+		return
+	}
+	grant.Done(<-done)
+}
+
+func acquireAloud(ctx context.Context, cell *Cell, ask Ask, stream *peers.Stream) (*Grant, error) {
+	type answer struct {
+		grant *Grant
+		err   error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		grant, err := cell.Acquire(ctx, ask)
+		answers <- answer{grant: grant, err: err}
+	}()
+	ticker := time.NewTicker(queueInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case a := <-answers:
+			return a.grant, a.err
+		case <-ticker.C:
+		}
+		queued := &wirepb.PermitReply{Queued: uint32(cell.Load().Queued)}
+		_ = stream.Send(&wirepb.Frame{Body: &wirepb.Frame_PermitReply{PermitReply: queued}})
+	}
+}
+
+func awaitDone(stream *peers.Stream) Result {
+	frame, err := stream.Recv()
+	if err != nil {
+		return Result{Outcome: wirepb.Outcome_OUTCOME_UNKNOWN}
+	}
+	done := frame.GetPermitDone()
+	return Result{
+		Outcome: done.GetOutcome(),
+		Run:     time.Duration(done.GetRunUs()) * time.Microsecond,
+		Tokens:  int(done.GetTokens()),
+	}
+}
+
+func refuse(stream *peers.Stream, err error) {
+	problem := &wirepb.Problem{Text: err.Error(), NotRun: true, RetryAfterMs: defaultRetry.Milliseconds()}
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		problem.Text = refused.reason
+		problem.RetryAfterMs = refused.retry.Milliseconds()
+		problem.Barred = refused.barred
+	}
+	_ = stream.Refuse(problem)
+}
+
+func askOf(call *wirepb.PermitCall) Ask {
+	return Ask{
+		Priority:    call.GetPriority(),
+		Share:       call.GetShare(),
+		Weight:      int(call.GetWeight()),
+		Deadline:    time.Now().Add(time.Duration(call.GetDeadlineMs()) * time.Millisecond),
+		Prefix:      call.GetPrefix(),
+		Fingerprint: call.GetFingerprint(),
+		Exclude:     call.GetExclude(),
+		Alone:       call.GetAlone(),
+	}
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -44,6 +44,7 @@
 		ip              string
 		httpPort        int
 		peerPort        int
+		advertised      string
 		seeds           []string
 		platform        string
 		platformRate    float64
@@ -65,7 +66,7 @@
 
 var known = map[string][]string{
 	"node":     {"name", "domain", "region", "data_dir", "log_level", "profile"},
-	"listen":   {"ip", "http_port", "peer_port"},
+	"listen":   {"ip", "http_port", "peer_port", "advertised_peer"},
 	"peers":    {"seeds"},
 	"platform": {"url", "calls_per_second", "burst"},
 	"timing":   {"heartbeat", "address_lifetime", "drain_timeout"},
@@ -98,6 +99,7 @@
 		ip:              r.text("listen", "ip", ""),
 		httpPort:        r.port("listen", "http_port", defaultHTTPPort),
 		peerPort:        r.port("listen", "peer_port", defaultPeerPort),
+		advertised:      doc.Section("listen").Key("advertised_peer").String(),
 		seeds:           doc.Section("peers").Key("seeds").Strings(","),
 		platform:        r.text("platform", "url", ""),
 		platformRate:    float64(r.number("platform", "calls_per_second", defaultPlatformRate)),
@@ -137,6 +139,14 @@
 // PeerAddress returns where other nodes connect.
 func (n *Node) PeerAddress() string { return net.JoinHostPort(n.ip, strconv.Itoa(n.peerPort)) }
 
+// AdvertisedPeer returns the address that other nodes are told to connect to.
+func (n *Node) AdvertisedPeer() string {
+	if n.advertised != "" {
+		return n.advertised
+	}
+	return n.PeerAddress()
+}
+
 // Seeds returns peer addresses to try first.
 func (n *Node) Seeds() []string { return n.seeds }
 
--- /dev/null
+++ b/steps/job.go
@@ -0,0 +1,94 @@
+package steps
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/specs"
+)
+
+func (k *Keeper) janitor() {
+	ticker := time.NewTicker(janitorInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if current := k.parts.Config.Current(); current != nil {
+			k.freeIdle(current.Set())
+		}
+	}
+}
+
+func (k *Keeper) freeIdle(set *specs.Set) {
+	view := k.parts.Members.View()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, j := range k.jobs {
+		trainer, declared := set.Trainer(name)
+		keeper, _ := KeeperOf(view, name)
+		limit := trainer.IdleLimit()
+		if !declared || keeper.Name() != view.Self() {
+			limit = min(limit, movedLimit)
+		}
+		if j.idleFor() > limit {
+			event.StepAbandoned.Log(k.parts.Logger, zap.String("trainer", name))
+			j.drop()
+			delete(k.jobs, name)
+		}
+	}
+}
+
+func (j *job) enter() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.waiting++
+}
+
+func (j *job) leave() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.waiting--
+	j.lastAsk = time.Now()
+}
+
+func (j *job) idleFor() time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.waiting > 0 || j.lastAsk.IsZero() {
+		return 0
+	}
+	return time.Since(j.lastAsk)
+}
+
+func (j *job) drop() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.run != nil {
+		j.run.cancel()
+		j.run = nil
+	}
+}
+
+func (j *job) forget(r *run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.run == r {
+		j.run = nil
+	}
+}
+
+func (r *run) underWay() bool { return !r.finished() }
+
+func (r *run) finished() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/steps/keeper.go
+++ b/steps/keeper.go
@@ -46,6 +46,7 @@
 	retryAfter      = time.Second
 	maxRounds       = 5
 	janitorInterval = time.Second
+	movedLimit      = 10 * time.Second
 )
 
 type (
@@ -138,6 +139,15 @@
 	return k
 }
 
+// KeeperOf returns the node that the trainer's steps fall to.
+func KeeperOf(view *member.View, trainer string) (member.Node, bool) {
+	ranked := view.Rank("step/"+trainer, "", 1)
+	if len(ranked) == 0 {
+		return member.Node{}, false
+	}
+	return ranked[0], true
+}
+
 // Close ends all runs and waits for them.
 func (k *Keeper) Close() {
 	k.cancel()
@@ -320,85 +330,11 @@
 }
 
 // janitor frees what is held for trainers that don't come back.
-func (k *Keeper) janitor() {
-	ticker := time.NewTicker(janitorInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-k.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		current := k.parts.Config.Current()
-		if current == nil {
-			continue
-		}
-		k.mu.Lock()
-		for name, j := range k.jobs {
-			trainer, ok := current.Set().Trainer(name)
-			if j.idleFor() > trainer.IdleLimit() || (!ok && j.idleFor() > 0) {
-				event.StepAbandoned.Log(k.parts.Logger, zap.String("trainer", name))
-				j.drop()
-				delete(k.jobs, name)
-			}
-		}
-		k.mu.Unlock()
-	}
-}
-
-func (j *job) enter() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.waiting++
-}
-
-func (j *job) leave() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.waiting--
-	j.lastAsk = time.Now()
-}
-
+// freeIdle drops jobs whose trainer is gone, does not ask any more, or has
+// moved to another keeper.
 // idleFor returns how long nobody has asked, 0 while somebody waits.
-func (j *job) idleFor() time.Duration {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.waiting > 0 || j.lastAsk.IsZero() {
-		return 0
-	}
-	return time.Since(j.lastAsk)
-}
-
-func (j *job) drop() {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.run != nil {
-		j.run.cancel()
-		j.run = nil
-	}
-}
-
 // forget drops a run that ended in an error.
-func (j *job) forget(r *run) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	if j.run == r {
-		j.run = nil
-	}
-}
-
 // underWay reports whether the run is still being made.
-func (r *run) underWay() bool { return !r.finished() }
-
-func (r *run) finished() bool {
-	select {
-	case <-r.done:
-		return true
-	default:
-		return false
-	}
-}
-
 func refusal(status int, reason string) *refusedError {
 	return &refusedError{head: &wirepb.StepHead{Status: uint32(status), Outcome: "not_run", Reason: reason}}
 }
