fix(steps): cut sealed samples into objects by bytes

Cause: objects were cut between groups at 3 MB unpacked, in the hope that packing brings them under the platform's 1 MB; a step of long samples, as at the target (about 26 KB of text each), could never be sealed.

Shown failing first: the case 'a group above one object' on the old code gave 'an object of 3435613 bytes'; the platform takes 1048576.

Change: one packed stream for the step, cut at 1 MiB; a fuzz target for its way back.

--- a/steps/decide_test.go
+++ b/steps/decide_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -194,16 +196,39 @@
 }
 
 func TestEncodeGroups(t *testing.T) {
-	groups := []Group{{Group: "a", Samples: []Sample{{ID: "1", Text: "x"}}}, {Group: "b", Samples: []Sample{{ID: "2"}}}}
-	chunks, digest, err := encodeGroups(groups)
-	if err != nil || len(chunks) != 1 {
-		t.Fatalf("got %d chunks, %v", len(chunks), err)
+	noise := make([]byte, 3*object.MaxValue)
+	source := rand.NewChaCha8([32]byte{1})
+	_, _ = source.Read(noise)
+	cases := map[string][]Group{
+		"small":                    {{Group: "a", Samples: []Sample{{ID: "1", Text: "x <&> y"}}}, {Group: "b"}},
+		"a group above one object": {{Group: "a", Samples: []Sample{{ID: "1", Text: hex.EncodeToString(noise)}}}},
+	}
+	for name, groups := range cases {
+		t.Run(name, func(t *testing.T) {
+			chunks, digest, err := encodeGroups(groups)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var packed []byte
+			for _, c := range chunks {
+				if len(c) > object.MaxValue {
+					t.Errorf("an object of %d bytes", len(c))
+				}
+				packed = append(packed, c...)
+			}
+			back, again, err := decodeGroups(packed)
+			if err != nil || again != digest || len(back) != len(groups) {
+				t.Errorf("got %d groups with digest %s, want %d with %s: %v", len(back), again, len(groups), digest, err)
+			}
+		})
 	}
-	back, err := decodeGroups(chunks[0])
+}
+
+func FuzzDecodeGroups(f *testing.F) {
+	chunks, _, err := encodeGroups([]Group{{Group: "a"}})
 	if err != nil {
-		t.Fatal(err)
-	}
-	if _, again, _ := encodeGroups(back); again != digest {
-		t.Errorf("digest %s became %s", digest, again)
+		f.Fatal(err)
 	}
+	f.Add(chunks[0])
+	f.Fuzz(func(_ *testing.T, packed []byte) { _, _, _ = decodeGroups(packed) })
 }
--- a/steps/deliver.go
+++ b/steps/deliver.go
@@ -1,6 +1,7 @@
 package steps
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -102,11 +103,11 @@
 }
 
 func sendLine(sink Sink, value any) error {
-	line, err := json.Marshal(value)
-	if err != nil {
+	var line bytes.Buffer
+	if err := json.NewEncoder(&line).Encode(value); err != nil {
 		return fmt.Errorf("encoding an answer: %w", err)
 	}
-	return sink.Data(append(line, '\n'))
+	return sink.Data(line.Bytes())
 }
 
 // supersede opens a sealed step again as the next attempt, which fences whoever
--- a/steps/seal.go
+++ b/steps/seal.go
@@ -1,15 +1,9 @@
 package steps
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -22,8 +16,6 @@
 )
 
 const (
-	chunkTarget     = 3 << 20
-	maxUnpacked     = 64 << 20
 	chunkWriters    = 4
 	sealFirstPause  = 100 * time.Millisecond
 	sealMaxPause    = 2 * time.Second
@@ -190,91 +182,22 @@
 
 // loadGroups reads sealed samples back.
 func (k *Keeper) loadGroups(ctx context.Context, record Record) ([]Group, error) {
-	var groups []Group
+	var packed []byte
 	for _, name := range record.Chunks {
 		value, err := k.parts.Platform.Get(ctx, dataKind, name)
 		if err != nil {
 			return nil, fmt.Errorf("reading sealed samples: %w", err)
 		}
-		part, err := decodeGroups(value.Body())
-		if err != nil {
-			return nil, err
-		}
-		groups = append(groups, part...)
-	}
-	if _, digest, err := encodeGroups(groups); err != nil || digest != record.Digest {
-		return nil, fmt.Errorf("the sealed samples of step %d have digest %s, want %s", record.Step, digest, record.Digest)
-	}
-	return groups, nil
-}
-
-// encodeGroups packs groups into objects and returns the digest of all lines.
-func encodeGroups(groups []Group) ([][]byte, string, error) {
-	sum := sha256.New()
-	var chunks [][]byte
-	var plain bytes.Buffer
-	flush := func() error {
-		if plain.Len() == 0 {
-			return nil
-		}
-		packed, err := pack(plain.Bytes())
-		plain.Reset()
-		chunks = append(chunks, packed)
-		return err
-	}
-	for _, g := range groups {
-		line, err := json.Marshal(g)
-		if err != nil {
-			return nil, "", fmt.Errorf("encoding group %s: %w", g.Group, err)
-		}
-		line = append(line, '\n')
-		sum.Write(line)
-		if plain.Len()+len(line) > chunkTarget {
-			if err := flush(); err != nil {
-				return nil, "", err
-			}
-		}
-		plain.Write(line)
+		packed = append(packed, value.Body()...)
 	}
-	if err := flush(); err != nil {
-		return nil, "", err
-	}
-	return chunks, hex.EncodeToString(sum.Sum(nil)[:digestBytes]), nil
-}
-
-func pack(plain []byte) ([]byte, error) {
-	var packed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
+	groups, digest, err := decodeGroups(packed)
 	if err != nil {
-		return nil, fmt.Errorf("packing samples: %w", err)
-	}
-	if _, err := writer.Write(plain); err != nil {
-		return nil, fmt.Errorf("packing samples: %w", err)
+		return nil, err
 	}
-	if err := writer.Close(); err != nil {
-		return nil, fmt.Errorf("packing samples: %w", err)
-	}
-	return packed.Bytes(), nil
-}
-
-func decodeGroups(packed []byte) ([]Group, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, fmt.Errorf("unpacking samples: %w", err)
-	}
-	decoder := json.NewDecoder(io.LimitReader(reader, maxUnpacked))
-	var groups []Group
-	for {
-		var g Group
-		err := decoder.Decode(&g)
-		if errors.Is(err, io.EOF) {
-			return groups, nil
-		}
-		if err != nil {
-			return nil, fmt.Errorf("decoding samples: %w", err)
-		}
-		groups = append(groups, g)
+	if digest != record.Digest {
+		return nil, fmt.Errorf("the sealed samples of step %d have digest %s, want %s", record.Step, digest, record.Digest)
 	}
+	return groups, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
