refactor: one wait, one place for claims and refusals; fix(member): no flapping

Cause, found by reading: seven copies of a wait with a context; claims and refused permits turned into answers in two places; a node that others can't reach, and that reaches them, would refute its death every time and be declared dead again.

Change: waits.For, route.TakeClaim and route.Refused; a death is refuted only when another node reaches this one.

--- a/active/active.go
+++ b/active/active.go
@@ -35,6 +35,7 @@
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -219,12 +220,12 @@
 func (k *Keeper) followPlatform(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if k.Current() != nil && !k.watches() {
-			pause(ctx, roleInterval)
+			_ = waits.For(ctx, roleInterval)
 			continue
 		}
 		if err := k.watchOnce(ctx); err != nil && ctx.Err() == nil {
 			event.ConfigWatchFailed.Log(k.logger, zap.Error(err))
-			pause(ctx, retryDelay+rand.N(retryDelay))
+			_ = waits.For(ctx, retryDelay+rand.N(retryDelay))
 		}
 	}
 	return nil
@@ -270,7 +271,7 @@
 		wanted := k.store.Get(factKey).GetConfigHead().GetGeneration()
 		for try := 0; k.generation() < wanted && try < pullTries && ctx.Err() == nil; try++ {
 			if err := k.pull(ctx, wanted); err != nil {
-				pause(ctx, retryDelay/2)
+				_ = waits.For(ctx, retryDelay/2)
 			}
 		}
 	}
@@ -315,12 +316,3 @@
 	}
 	return k.take(document)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/caller/admin.go
+++ b/caller/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/currantloft/currantloft/active"
 	"github.com/currantloft/currantloft/entry"
+	"github.com/currantloft/currantloft/waits"
 )
 
 const statusPause = 100 * time.Millisecond
@@ -120,7 +121,7 @@
 			if err == nil && status.Generation >= generation {
 				break
 			}
-			if pause(ctx, statusPause) != nil {
+			if waits.For(ctx, statusPause) != nil {
 				return fmt.Errorf("node %s has generation %d, want %d: %w", base, status.Generation, generation, ctx.Err())
 			}
 		}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -178,14 +178,3 @@
 	}
 	return e
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/caller/step.go
+++ b/caller/step.go
@@ -15,6 +15,7 @@
 
 	"github.com/currantloft/currantloft/entry"
 	"github.com/currantloft/currantloft/steps"
+	"github.com/currantloft/currantloft/waits"
 )
 
 const (
@@ -72,7 +73,7 @@
 			wait = min(maxStepWait, max(wait, refused.RetryAfter()))
 		}
 		c.Forget()
-		if pause(ctx, wait) != nil {
+		if waits.For(ctx, wait) != nil {
 			return Step{}, err
 		}
 	}
--- a/caller/tokens.go
+++ b/caller/tokens.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -16,6 +17,7 @@
 
 const (
 	maxLine           = 64 << 20
+	maxDials          = 4
 	initialLine       = 64 << 10
 	requestID         = "Request-Id"
 	requestTimeout    = "Request-Timeout"
@@ -58,13 +60,26 @@
 // End returns the answer's last line.
 func (a Answer) End() entry.TokenEnd { return a.end }
 
-// Tokens sends one request to one node and reads the whole answer.
+// Tokens sends one request to a node and reads the whole answer. A node that
+// takes no connection is left for another.
 func (c *Client) Tokens(ctx context.Context, service string, request Request) (Answer, error) {
-	base, err := c.Node(ctx)
-	if err != nil {
-		return Answer{}, err
+	for try := 1; ; try++ {
+		base, err := c.Node(ctx)
+		if err != nil {
+			return Answer{}, err
+		}
+		answer, err := c.TokensAt(ctx, base, service, request)
+		if !neverSent(err) || try == maxDials || ctx.Err() != nil {
+			return answer, err
+		}
+		c.Forget()
 	}
-	return c.TokensAt(ctx, base, service, request)
+}
+
+// neverSent reports whether there was no connection to send a request on.
+func neverSent(err error) bool {
+	var network *net.OpError
+	return errors.As(err, &network) && network.Op == "dial"
 }
 
 // TokensAt is Tokens at a given node.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -19,6 +19,7 @@
 	"github.com/currantloft/currantloft/poison"
 	"github.com/currantloft/currantloft/retry"
 	"github.com/currantloft/currantloft/route"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -120,7 +121,7 @@
 		again := !errors.As(err, &final) && attempt < plainAttempts && ctx.Err() == nil &&
 			(c.asked.idempotent || !c.written) && c.server.budget.Allow()
 		if again {
-			time.Sleep(retry.Delay(attempt))
+			_ = waits.For(ctx, retry.Delay(attempt))
 			continue
 		}
 		if c.held != nil && !c.written {
@@ -151,7 +152,7 @@
 	c.ask.Alone = verdict == poison.Suspect
 	place, err := parts.Desk.Acquire(ctx, c.asked.service.Backend(), c.ask)
 	if err != nil {
-		return nil, c.refused(err)
+		return nil, route.Refused(err, c.outcome())
 	}
 	_ = c.machine.Fire("grant")
 	if err := c.claim(ctx); err != nil {
@@ -172,32 +173,14 @@
 	return answer, err
 }
 
-func (c *plainCall) refused(err error) error {
-	var refused *permit.RefusedError
-	if !errors.As(err, &refused) {
-		return route.NewError(c.outcome(), time.Second, err)
-	}
-	if refused.Barred() {
-		return route.NewError(route.Barred, 0, err)
-	}
-	return route.NewError(c.outcome(), refused.RetryAfter(), err)
-}
-
 func (c *plainCall) claim(ctx context.Context) error {
 	take := c.server.claimOf(c.asked)
 	if take == nil || c.held != nil {
 		return nil
 	}
-	held, err := take(ctx)
-	var taken *claim.TakenError
-	switch {
-	case errors.As(err, &taken):
-		return route.NewError(route.Claimed, 0, err)
-	case err != nil:
-		return route.NewError(route.NotRun, time.Second, err)
-	}
+	held, err := route.TakeClaim(ctx, take)
 	c.held = held
-	return nil
+	return err
 }
 
 // sendWithin sends an idempotent request on a kept connection for as long as
--- a/entry/step.go
+++ b/entry/step.go
@@ -15,6 +15,7 @@
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/route"
 	"github.com/currantloft/currantloft/steps"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -134,11 +135,7 @@
 		if (ok && err == nil) || sink.begun {
 			return
 		}
-		timer := time.NewTimer(keeperPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if waits.For(ctx, keeperPause) != nil {
 			_ = sink.Head(&wirepb.StepHead{
 				Status:       http.StatusServiceUnavailable,
 				Outcome:      string(outcomeWaiting),
--- a/integ/scale_test.go
+++ b/integ/scale_test.go
@@ -18,6 +18,7 @@
 
 const (
 	figures          = "../docs/figures"
+	targetNodes      = 320
 	targetDomains    = 11
 	targetRegions    = 4
 	endpointsPerNode = 11
@@ -50,11 +51,15 @@
 			})
 		}
 	}
+	var fits strings.Builder
+	fmt.Fprintf(&fits, "least squares over the fleet sizes measured, and their value at %d nodes\n", targetNodes)
 	for _, f := range []*plots.Figure{cpu, rss, bytes, force} {
 		if err := f.Write(figures); err != nil {
 			b.Fatal(err)
 		}
+		fits.WriteString(f.Fits(targetNodes))
 	}
+	keepReports(b, "control_fit", fits.String())
 }
 
 func measureScale(b *testing.B, nodes int, cpu, rss, bytes, force *plots.Figure) {
--- a/member/beat.go
+++ b/member/beat.go
@@ -152,6 +152,7 @@
 // ServeExchange answers a heartbeat.
 func (m *Members) ServeExchange(call *wirepb.Exchange) *wirepb.ExchangeReply {
 	m.take(call.GetFacts(), call.GetFrom())
+	m.refuteDeath()
 	since := call.GetSince()
 	incarnation := m.life()
 	if call.GetSinceIncarnation() != incarnation {
--- a/member/member.go
+++ b/member/member.go
@@ -9,9 +9,9 @@
 //
 // A node that misses several heartbeats is probed on a new connection and
 // through two other nodes; if none reaches it, it is declared dead. A node that
-// hears of its own death, because it was frozen or cut off, starts a new
-// incarnation. Suspended tells the rest of the process that it may have been
-// declared dead without knowing it.
+// was declared dead, because it was frozen or cut off, starts a new incarnation
+// once another node reaches it. Suspended tells the rest of the process that it
+// may have been declared dead without knowing it.
 //
 // # Usage
 //
@@ -184,25 +184,33 @@
 	m.relink(view)
 }
 
-// refute starts a new incarnation if others hold this node dead or know an
-// older life under its name that outranks the present one.
+// refute starts a new incarnation if others know a life under this node's name
+// that outranks the present one.
 func (m *Members) refute(view *View) {
 	seen, ok := view.Node(m.config.Self.GetName())
-	if !ok {
+	if !ok || seen.Incarnation() <= m.Incarnation() {
 		return
 	}
-	m.mu.Lock()
-	mine := m.self
-	outranked := seen.Incarnation() > mine.GetIncarnation()
-	dead := seen.Incarnation() == mine.GetIncarnation() && seen.State() > mine.GetState()
-	if outranked || dead {
-		mine.Incarnation = seen.Incarnation() + 1
+	m.beginLife(seen.Incarnation() + 1)
+}
+
+// refuteDeath starts a new incarnation if others hold this node dead. It is
+// called when another node has reached this one, so that a node that can reach
+// others and can't be reached stays dead for them.
+func (m *Members) refuteDeath() {
+	info := m.store.Get(keyPrefix + m.config.Self.GetName()).GetMember()
+	dead := info.GetState() == wirepb.MemberState_MEMBER_STATE_DEAD
+	if dead && info.GetIncarnation() >= m.Incarnation() {
+		m.beginLife(info.GetIncarnation() + 1)
 	}
+}
+
+func (m *Members) beginLife(incarnation uint64) {
+	m.mu.Lock()
+	m.self.Incarnation = incarnation
 	m.mu.Unlock()
-	if outranked || dead {
-		event.MemberRefuted.Log(m.logger, zap.Uint64("incarnation", m.Incarnation()))
-		m.publishSelf()
-	}
+	event.MemberRefuted.Log(m.logger, zap.Uint64("incarnation", incarnation))
+	m.publishSelf()
 }
 
 func (m *Members) relink(view *View) {
--- a/permit/cell.go
+++ b/permit/cell.go
@@ -274,9 +274,6 @@
 	return nil
 }
 
-// recheck judges waiters again whose endpoints nothing is heard of.
-// refuseEarly judges whether the request can make its deadline.
-// expectedWait estimates how long a request waits behind the given number.
 func (c *Cell) load() Load {
 	load := Load{Queued: len(c.interactive) + c.trainers.len()}
 	for _, p := range c.places {
@@ -315,7 +312,6 @@
 	c.dispatch()
 }
 
-// barIfCrashed refuses at once whoever waits to run the same request again.
 // observe keeps the mean time of requests per priority; a request with tokens
 // belongs to whichever kind the cell serves.
 func (c *Cell) observe(p *place, result Result) {
@@ -327,6 +323,3 @@
 	}
 	c.service[p.lastPriority] = time.Duration(keep*float64(old) + (1-keep)*float64(result.Run))
 }
-
-// dispatch gives out places for as long as a waiter can have one.
-// refuseHopeless answers waiters whose endpoints have all gone.
--- a/permit/desk.go
+++ b/permit/desk.go
@@ -23,7 +23,8 @@
 	idleCellLife  = 30 * time.Second
 	loadLife      = 2 * time.Second
 	busyLimit     = 1.0
-	cellsToTry    = 3
+	cellsToTry    = 4
+	nextCellAfter = 20 * time.Millisecond
 )
 
 type (
@@ -58,6 +59,12 @@
 		once        sync.Once
 	}
 
+	// answer is what a cell's keeper said.
+	answer struct {
+		permit *Permit
+		err    error
+	}
+
 	seenLoad struct {
 		load Load
 		at   time.Time
@@ -195,8 +202,9 @@
 	return layout
 }
 
-// Acquire finds a cell of the backend and gets a place there. Its error is a
-// *RefusedError or the context's.
+// Acquire gets a place in a cell of the backend. It asks the best cell first; as
+// long as it waits there it asks one more after each moment, and takes what
+// comes first; a suspect waits in one cell at a time. Its error is a *RefusedError or the context's.
 func (d *Desk) Acquire(ctx context.Context, backend string, ask Ask) (*Permit, error) {
 	current := d.config.Current()
 	if current == nil {
@@ -206,27 +214,79 @@
 	if len(cells) == 0 {
 		return nil, &RefusedError{reason: "no endpoints for " + backend, retry: defaultRetry}
 	}
-	var refused *RefusedError
-	for _, cell := range cells {
-		permit, err := d.ask(ctx, cell, ask)
-		if err == nil {
-			return permit, nil
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, len(cells))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	asked, open := 0, 0
+	var refusals []error
+	for {
+		select {
+		case <-next.C:
+			cell := cells[asked]
+			asked, open = asked+1, open+1
+			go func() {
+				permit, err := d.ask(ctx, cell, ask)
+				answers <- answer{permit: permit, err: err}
+			}()
+			if asked < len(cells) && !ask.Alone {
+				next.Reset(nextCellAfter)
+			}
+		case a := <-answers:
+			open--
+			if a.err == nil {
+				cancel()
+				go giveBack(answers, open)
+				return a.permit, nil
+			}
+			refusals = append(refusals, a.err)
+			if barred(a.err) || (open == 0 && asked == len(cells)) {
+				return nil, conclude(ctx, backend, refusals)
+			}
+			if asked < len(cells) {
+				next.Reset(0)
+			}
 		}
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
+	}
+}
+
+// giveBack returns places that came after the first.
+func giveBack(answers <-chan answer, open int) {
+	for range open {
+		if a := <-answers; a.err == nil {
+			a.permit.Done(Result{Outcome: wirepb.Outcome_OUTCOME_NOT_RUN})
 		}
-		var r *RefusedError
-		if errors.As(err, &r) && r.barred {
-			return nil, r
+	}
+}
+
+func barred(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) && refused.barred
+}
+
+// conclude turns the cells' refusals into one, with the earliest time to come back.
+func conclude(ctx context.Context, backend string, refusals []error) error {
+	var best *RefusedError
+	for _, err := range refusals {
+		var refused *RefusedError
+		if !errors.As(err, &refused) {
+			continue
+		}
+		if refused.barred {
+			return refused
 		}
-		if r != nil && (refused == nil || r.retry < refused.retry) {
-			refused = r
+		if best == nil || refused.retry < best.retry {
+			best = refused
 		}
 	}
-	if refused == nil {
-		refused = &RefusedError{reason: "no keeper for " + backend + " answers", retry: defaultRetry}
+	if best != nil {
+		return best
 	}
-	return nil, refused
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return &RefusedError{reason: "no keeper for " + backend + " answers", retry: defaultRetry}
 }
 
 func (d *Desk) ask(ctx context.Context, cell specs.Cell, ask Ask) (*Permit, error) {
@@ -342,8 +402,3 @@
 		Capacity: int(reply.GetCapacity()),
 	}
 }
-
-// Serve answers another node's call for a place and holds the place until that
-// node says how it went or its connection ends.
-// acquireAloud waits for a place and tells the caller meanwhile that it waits.
-// awaitDone reads how the request went; a lost connection leaves it unknown.
--- a/permit/dispatch.go
+++ b/permit/dispatch.go
@@ -7,12 +7,14 @@
 	"github.com/currantloft/currantloft/wirepb"
 )
 
+// recheck judges waiters again whose endpoints nothing is heard of.
 func (c *Cell) recheck() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dispatch()
 }
 
+// refuseEarly judges whether the request can make its deadline.
 func (c *Cell) refuseEarly(w *waiter) error {
 	if w.ask.Alone && c.barred[w.ask.Fingerprint] {
 		return barredError()
@@ -42,6 +44,7 @@
 	return nil
 }
 
+// expectedWait estimates how long a request waits behind the given number.
 func (c *Cell) expectedWait(ahead int) time.Duration {
 	capacity := max(1, c.load().Capacity)
 	mean := c.service[wirepb.Priority_PRIORITY_INTERACTIVE]
@@ -64,6 +67,7 @@
 	return ready, unknown
 }
 
+// barIfCrashed refuses at once whoever waits to run the same request again.
 func (c *Cell) barIfCrashed(ask Ask, result Result) {
 	if result.Outcome != wirepb.Outcome_OUTCOME_CRASHED || ask.Fingerprint == 0 {
 		return
@@ -82,6 +86,7 @@
 	return &RefusedError{reason: "the request crashed an endpoint that ran it alone", barred: true}
 }
 
+// dispatch gives out places for as long as a waiter can have one.
 func (c *Cell) dispatch() {
 	c.refuseHopeless()
 	for c.dispatchOne() {
@@ -135,6 +140,7 @@
 	w.granted <- grant
 }
 
+// refuseHopeless answers waiters whose endpoints have all gone.
 func (c *Cell) refuseHopeless() {
 	refuse := func(w *waiter) bool {
 		ready, unknown := c.countReady(w.ask.Exclude)
--- a/permit/serve.go
+++ b/permit/serve.go
@@ -9,6 +9,8 @@
 	"github.com/currantloft/currantloft/wirepb"
 )
 
+// Serve answers another node's call for a place and holds the place until that
+// node says how it went or its connection ends.
 func (d *Desk) Serve(ctx context.Context, call *wirepb.PermitCall, stream *peers.Stream) {
 	cell, ok := d.Cell(call.GetCell())
 	if !ok {
@@ -47,15 +49,16 @@
 	grant.Done(<-done)
 }
 
+// acquireAloud waits for a place and tells the caller meanwhile that it waits.
 func acquireAloud(ctx context.Context, cell *Cell, ask Ask, stream *peers.Stream) (*Grant, error) {
-	type answer struct {
+	type granted struct {
 		grant *Grant
 		err   error
 	}
-	answers := make(chan answer, 1)
+	answers := make(chan granted, 1)
 	go func() {
 		grant, err := cell.Acquire(ctx, ask)
-		answers <- answer{grant: grant, err: err}
+		answers <- granted{grant: grant, err: err}
 	}()
 	ticker := time.NewTicker(queueInterval)
 	defer ticker.Stop()
@@ -70,6 +73,7 @@
 	}
 }
 
+// awaitDone reads how the request went; a lost connection leaves it unknown.
 func awaitDone(stream *peers.Stream) Result {
 	frame, err := stream.Recv()
 	if err != nil {
--- a/plots/plots.go
+++ b/plots/plots.go
@@ -87,6 +87,17 @@
 	return out.String()
 }
 
+// Fits returns a line for each series with its fitted line and the value at x.
+func (f *Figure) Fits(x float64) string {
+	var out strings.Builder
+	for _, name := range f.names() {
+		line := f.Fit(name)
+		fmt.Fprintf(&out, "%s, %s: %.4g + %.4g * %s; at %g: %.4g\n",
+			f.yLabel, name, line.Offset, line.Slope, f.xLabel, x, line.At(x))
+	}
+	return out.String()
+}
+
 // Write writes the table and the picture into a folder.
 func (f *Figure) Write(dir string) error {
 	table := filepath.Join(dir, f.name+".tsv")
--- a/route/route.go
+++ b/route/route.go
@@ -31,24 +31,11 @@
 	"github.com/currantloft/currantloft/permit"
 	"github.com/currantloft/currantloft/poison"
 	"github.com/currantloft/currantloft/retry"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
-const (
-	maxAttempts = 6
-	retryLater  = time.Second
-)
-
-// Outcome says what is known of a request that has no whole answer.
-type Outcome string
-
-// Outcomes of a request.
-const (
-	NotRun  Outcome = "not_run"
-	Unknown Outcome = "unknown"
-	Barred  Outcome = "quarantined"
-	Claimed Outcome = "claimed"
-)
+const maxAttempts = 6
 
 type (
 	// Job is a request for tokens.
@@ -86,13 +73,6 @@
 		startedAt time.Time
 	}
 
-	// Error says why there is no whole answer and what is known.
-	Error struct {
-		outcome Outcome
-		retry   time.Duration
-		cause   error
-	}
-
 	// Runner runs jobs at one node.
 	Runner struct {
 		desk    *permit.Desk
@@ -148,18 +128,6 @@
 // StartedAt returns when the first token's attempt began.
 func (r Result) StartedAt() time.Time { return r.startedAt }
 
-// Error returns the outcome and its cause as one line.
-func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.outcome, e.cause) }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.cause }
-
-// Outcome returns what is known of the request.
-func (e *Error) Outcome() Outcome { return e.outcome }
-
-// RetryAfter returns when to come back, 0 for never.
-func (e *Error) RetryAfter() time.Duration { return e.retry }
-
 // Run runs a job until its answer is whole or it is given up.
 func (r *Runner) Run(ctx context.Context, job Job) (Result, error) {
 	ctx, cancel := context.WithDeadline(ctx, job.Ask.Deadline)
@@ -208,32 +176,15 @@
 }
 
 // refused turns a missing permit into the final answer.
-func (x *run) refused(err error) error {
-	var refused *permit.RefusedError
-	if errors.As(err, &refused) && refused.Barred() {
-		return &Error{outcome: Barred, cause: err}
-	}
-	after := retryLater
-	if errors.As(err, &refused) {
-		after = refused.RetryAfter()
-	}
-	return &Error{outcome: x.outcomeSoFar(), retry: after, cause: err}
-}
+func (x *run) refused(err error) error { return Refused(err, x.outcomeSoFar()) }
 
 func (x *run) claim(ctx context.Context) error {
 	if x.job.Claim == nil || x.held != nil {
 		return nil
 	}
-	held, err := x.job.Claim(ctx)
-	var taken *claim.TakenError
-	switch {
-	case errors.As(err, &taken):
-		return &Error{outcome: Claimed, cause: err}
-	case err != nil:
-		return &Error{outcome: NotRun, retry: retryLater, cause: err}
-	}
+	held, err := TakeClaim(ctx, x.job.Claim)
 	x.held = held
-	return nil
+	return err
 }
 
 func (x *run) giveBackClaim(ctx context.Context) {
@@ -327,14 +278,10 @@
 	if x.result.attempts >= maxAttempts || !x.budget.Allow() {
 		return &Error{outcome: x.outcomeSoFar(), retry: retryLater, cause: cause}
 	}
-	timer := time.NewTimer(retry.Delay(x.result.attempts))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return &Error{outcome: x.outcomeSoFar(), retry: retryLater, cause: errors.Join(cause, ctx.Err())}
-	case <-timer.C:
-		return nil
+	if err := waits.For(ctx, retry.Delay(x.result.attempts)); err != nil {
+		return &Error{outcome: x.outcomeSoFar(), retry: retryLater, cause: errors.Join(cause, err)}
 	}
+	return nil
 }
 
 func (x *run) outcomeSoFar() Outcome {
@@ -384,8 +331,3 @@
 		Tokens:     count,
 	})
 }
-
-// NewError returns an error with what is known of a request.
-func NewError(outcome Outcome, retry time.Duration, cause error) *Error {
-	return &Error{outcome: outcome, retry: retry, cause: cause}
-}
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -32,6 +32,7 @@
 	"github.com/currantloft/currantloft/poison"
 	"github.com/currantloft/currantloft/route"
 	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -126,12 +127,7 @@
 		if ctx.Err() != nil || !again {
 			return nil, fmt.Errorf("sample %d of group %s: %w", t.index, t.call.GetGroup(), err)
 		}
-		timer := time.NewTimer(redrawPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		_ = waits.For(ctx, redrawPause)
 	}
 }
 
--- a/sample/score.go
+++ b/sample/score.go
@@ -7,10 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/currantloft/currantloft/retry"
 	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/waits"
 )
 
 const (
@@ -49,12 +49,8 @@
 		if score, err = s.once(ctx, service, call); err == nil {
 			return score, nil
 		}
-		timer := time.NewTimer(retry.Delay(try))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if waits.For(ctx, retry.Delay(try)) != nil {
 			return 0, err
-		case <-timer.C:
 		}
 	}
 	return 0, err
--- a/steps/gather.go
+++ b/steps/gather.go
@@ -12,6 +12,7 @@
 
 	"github.com/currantloft/currantloft/member"
 	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -151,12 +152,7 @@
 		if ok && w.launch(ctx, node, missing, hedge) == nil {
 			continue
 		}
-		timer := time.NewTimer(relaunchPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-		case <-timer.C:
-		}
+		_ = waits.For(ctx, relaunchPause)
 	}
 }
 
--- a/steps/job.go
+++ b/steps/job.go
@@ -9,6 +9,7 @@
 	"github.com/currantloft/currantloft/specs"
 )
 
+// janitor frees what is held for trainers that don't come back.
 func (k *Keeper) janitor() {
 	ticker := time.NewTicker(janitorInterval)
 	defer ticker.Stop()
@@ -24,6 +25,8 @@
 	}
 }
 
+// freeIdle drops jobs whose trainer is gone, does not ask any more, or has
+// moved to another keeper.
 func (k *Keeper) freeIdle(set *specs.Set) {
 	view := k.parts.Members.View()
 	k.mu.Lock()
@@ -56,6 +59,7 @@
 	j.lastAsk = time.Now()
 }
 
+// idleFor returns how long nobody has asked, 0 while somebody waits.
 func (j *job) idleFor() time.Duration {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -74,6 +78,7 @@
 	}
 }
 
+// forget drops a run that ended in an error.
 func (j *job) forget(r *run) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -82,6 +87,7 @@
 	}
 }
 
+// underWay reports whether the run is still being made.
 func (r *run) underWay() bool { return !r.finished() }
 
 func (r *run) finished() bool {
--- a/steps/keeper.go
+++ b/steps/keeper.go
@@ -329,12 +329,6 @@
 	return j
 }
 
-// janitor frees what is held for trainers that don't come back.
-// freeIdle drops jobs whose trainer is gone, does not ask any more, or has
-// moved to another keeper.
-// idleFor returns how long nobody has asked, 0 while somebody waits.
-// forget drops a run that ended in an error.
-// underWay reports whether the run is still being made.
 func refusal(status int, reason string) *refusedError {
 	return &refusedError{head: &wirepb.StepHead{Status: uint32(status), Outcome: "not_run", Reason: reason}}
 }
--- a/steps/seal.go
+++ b/steps/seal.go
@@ -13,6 +13,7 @@
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/waits"
 )
 
 const (
@@ -60,7 +61,7 @@
 			return
 		}
 		event.StepSealRetry.Log(k.parts.Logger, zap.String("trainer", j.trainer), zap.Uint64("step", r.step), zap.Error(err))
-		if !sleep(ctx, policy.NextBackOff()) {
+		if waits.For(ctx, policy.NextBackOff()) != nil {
 			r.err = ctx.Err()
 			return
 		}
@@ -199,14 +200,3 @@
 	}
 	return groups, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
