fix(permit): no place for a request that can't be done in time

A waiter got a place with whatever time was left, so endpoints worked on answers that came too late; and each event looked at every waiter's endpoints.

Shown failing first: TestNoPlaceWithoutTimeLeft got a place 'with 50 ms left for 100 ms of work'.

Change: a place is given only if the mean time and twice its spread are left, else the request is refused at once; waiters are looked at one by one only when an endpoint's state changed; callers ask three cells, samples four.

--- a/integ/fleet_test.go
+++ b/integ/fleet_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -53,7 +54,11 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "currantloft")
-	build := exec.Command("go", "build", "-o", binary, "..")
+	arguments := []string{"build", "-o", binary}
+	if os.Getenv("CURRANTLOFT_RACE") != "" {
+		arguments = append(arguments, "-race")
+	}
+	build := exec.Command("go", append(arguments, "..")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("building: %v: %s", err, out))
 	}
@@ -154,8 +159,11 @@
 	n.signal(syscall.SIGCONT)
 	n.signal(syscall.SIGKILL)
 	<-n.done
+	text, _ := os.ReadFile(n.log)
+	if strings.Contains(string(text), "DATA RACE") || strings.Contains(string(text), "panic:") {
+		f.t.Errorf("%s raced or panicked", n.name)
+	}
 	if f.t.Failed() {
-		text, _ := os.ReadFile(n.log)
 		f.t.Logf("%s:\n%s", n.name, text)
 	}
 }
--- a/permit/cell.go
+++ b/permit/cell.go
@@ -136,7 +136,7 @@
 		streak      int
 		barred      map[uint64]bool
 		aloneOut    int
-		service     map[wirepb.Priority]time.Duration
+		service     map[wirepb.Priority]*estimate
 		used        time.Time
 	}
 )
@@ -149,7 +149,7 @@
 		places:   make(map[string]*place),
 		trainers: newFairQueue(),
 		barred:   make(map[uint64]bool),
-		service:  make(map[wirepb.Priority]time.Duration),
+		service:  make(map[wirepb.Priority]*estimate),
 		used:     time.Now(),
 	}
 }
@@ -182,6 +182,7 @@
 		keep[e.Name()] = p
 	}
 	c.places = keep
+	c.refuseHopeless()
 	c.dispatch()
 }
 
@@ -194,6 +195,7 @@
 		return
 	}
 	p.report(report)
+	c.refuseHopeless()
 	c.dispatch()
 }
 
@@ -306,20 +308,11 @@
 		c.aloneOut--
 		c.barIfCrashed(g.ask, result)
 	}
+	if !g.place.ready {
+		c.refuseHopeless()
+	}
 	if result.Outcome == wirepb.Outcome_OUTCOME_ANSWERED {
-		c.observe(g.place, result)
+		c.estimateOf(g.ask.Priority).add(result.Run)
 	}
 	c.dispatch()
 }
-
-// observe keeps the mean time of requests per priority; a request with tokens
-// belongs to whichever kind the cell serves.
-func (c *Cell) observe(p *place, result Result) {
-	const keep = 0.9
-	old := c.service[p.lastPriority]
-	if old == 0 {
-		c.service[p.lastPriority] = result.Run
-		return
-	}
-	c.service[p.lastPriority] = time.Duration(keep*float64(old) + (1-keep)*float64(result.Run))
-}
--- a/permit/cell_test.go
+++ b/permit/cell_test.go
@@ -163,6 +163,33 @@
 	}
 }
 
+func TestNoPlaceWithoutTimeLeft(t *testing.T) {
+	c := newTestCell(t, 1, 1, false)
+	now := time.Now()
+	c.now = func() time.Time { return now }
+	for range 5 {
+		g := <-acquired(c, ask(interactive, "q", 1))
+		g.Done(Result{Outcome: wirepb.Outcome_OUTCOME_ANSWERED, Run: 100 * time.Millisecond, Tokens: 10})
+	}
+	holder := <-acquired(c, ask(interactive, "q", 1))
+	refused := make(chan error, 1)
+	go func() {
+		late := ask(interactive, "q", 1)
+		late.Deadline = now.Add(250 * time.Millisecond)
+		_, err := c.Acquire(context.Background(), late)
+		refused <- err
+	}()
+	for c.Load().Queued == 0 {
+		time.Sleep(100 * time.Microsecond)
+	}
+	now = now.Add(200 * time.Millisecond)
+	holder.Done(answered())
+	var r *RefusedError
+	if err := <-refused; !errors.As(err, &r) {
+		t.Errorf("got %v with 50 ms left for 100 ms of work, want a refusal", err)
+	}
+}
+
 func TestUnheardEndpointsAreRefusedSoon(t *testing.T) {
 	c := newTestCell(t, 1, 1, false)
 	c.places["e0"].ready, c.places["e0"].reported = false, false
--- a/permit/desk.go
+++ b/permit/desk.go
@@ -17,14 +17,15 @@
 )
 
 const (
-	askTimeout    = 600 * time.Millisecond
-	queueInterval = 200 * time.Millisecond
-	keepersToTry  = 2
-	idleCellLife  = 30 * time.Second
-	loadLife      = 2 * time.Second
-	busyLimit     = 1.0
-	cellsToTry    = 4
-	nextCellAfter = 20 * time.Millisecond
+	askTimeout     = 600 * time.Millisecond
+	queueInterval  = 200 * time.Millisecond
+	keepersToTry   = 2
+	idleCellLife   = 30 * time.Second
+	loadLife       = 2 * time.Second
+	busyLimit      = 1.0
+	cellsPerCaller = 3
+	cellsPerSample = 4
+	nextCellAfter  = 20 * time.Millisecond
 )
 
 type (
--- a/permit/dispatch.go
+++ b/permit/dispatch.go
@@ -1,9 +1,6 @@
 package permit
 
 import (
-	"fmt"
-	"time"
-
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -11,62 +8,10 @@
 func (c *Cell) recheck() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.refuseHopeless()
 	c.dispatch()
 }
 
-// refuseEarly judges whether the request can make its deadline.
-func (c *Cell) refuseEarly(w *waiter) error {
-	if w.ask.Alone && c.barred[w.ask.Fingerprint] {
-		return barredError()
-	}
-	ready, unknown := c.countReady(w.ask.Exclude)
-	if ready == 0 && unknown == 0 {
-		return &RefusedError{reason: "no endpoint of " + c.name + " is ready", retry: defaultRetry}
-	}
-	load := c.load()
-	if load.Queued >= maxQueue {
-		return &RefusedError{reason: "the queue of " + c.name + " is full", retry: c.expectedWait(load.Queued)}
-	}
-	ahead := load.Queued
-	if w.ask.Priority == wirepb.Priority_PRIORITY_INTERACTIVE {
-		ahead = len(c.interactive)
-	}
-	wait := c.expectedWait(ahead)
-	if load.InFlight < load.Capacity {
-		wait = 0
-	}
-	need := wait + c.service[w.ask.Priority]/2
-	if left := w.ask.Deadline.Sub(c.now()); need > left {
-		reason := fmt.Sprintf("the expected %s exceed the %s that are left", need.Round(time.Millisecond),
-			left.Round(time.Millisecond))
-		return &RefusedError{reason: reason, retry: max(minRetry, wait)}
-	}
-	return nil
-}
-
-// expectedWait estimates how long a request waits behind the given number.
-func (c *Cell) expectedWait(ahead int) time.Duration {
-	capacity := max(1, c.load().Capacity)
-	mean := c.service[wirepb.Priority_PRIORITY_INTERACTIVE]
-	if trainer := c.service[wirepb.Priority_PRIORITY_TRAINER]; mean == 0 {
-		mean = trainer
-	}
-	return time.Duration(float64(mean) * float64(ahead+1) / float64(capacity))
-}
-
-func (c *Cell) countReady(exclude []string) (ready, unknown int) {
-	for _, p := range c.places {
-		switch {
-		case contains(exclude, p.name):
-		case p.ready:
-			ready++
-		case !p.reported && c.now().Sub(p.born) < unknownPatience:
-			unknown++
-		}
-	}
-	return ready, unknown
-}
-
 // barIfCrashed refuses at once whoever waits to run the same request again.
 func (c *Cell) barIfCrashed(ask Ask, result Result) {
 	if result.Outcome != wirepb.Outcome_OUTCOME_CRASHED || ask.Fingerprint == 0 {
@@ -88,7 +33,6 @@
 
 // dispatch gives out places for as long as a waiter can have one.
 func (c *Cell) dispatch() {
-	c.refuseHopeless()
 	for c.dispatchOne() {
 	}
 }
@@ -105,18 +49,35 @@
 	return trainersFirst && c.dispatchInteractive()
 }
 
+// dispatchInteractive serves the waiter with the earliest deadline that a place
+// can be found for. Those that would not be done in time are refused now.
 func (c *Cell) dispatchInteractive() bool {
-	for _, w := range c.interactive {
-		if p := c.choose(w.ask); p != nil {
-			c.interactive = remove(c.interactive, w)
-			c.streak++
-			c.grant(w, p)
-			return true
+	for i := 0; i < len(c.interactive); {
+		w := c.interactive[i]
+		p := c.choose(w.ask)
+		if p == nil && w.ask.plain() {
+			return false
+		}
+		if p == nil {
+			i++
+			continue
 		}
+		c.interactive = append(c.interactive[:i], c.interactive[i+1:]...)
+		if err := c.refuseLate(w, 0); err != nil {
+			w.refused <- err
+			continue
+		}
+		c.streak++
+		c.grant(w, p)
+		return true
 	}
 	return false
 }
 
+// plain reports whether any free place will do, so that a place that is not
+// found for this request is not there for others either.
+func (a Ask) plain() bool { return !a.Alone && len(a.Exclude) == 0 }
+
 func (c *Cell) dispatchTrainer() bool {
 	for _, w := range c.trainers.heads() {
 		if p := c.choose(w.ask); p != nil {
@@ -130,7 +91,6 @@
 
 func (c *Cell) grant(w *waiter, p *place) {
 	p.inFlight++
-	p.lastPriority = w.ask.Priority
 	if w.ask.Alone {
 		p.alone = true
 		c.aloneOut++
@@ -147,7 +107,7 @@
 		if ready > 0 || unknown > 0 {
 			return false
 		}
-		w.refused <- &RefusedError{reason: "no endpoint of " + c.name + " is ready", retry: defaultRetry}
+		w.refused <- c.noneReady()
 		return true
 	}
 	kept := c.interactive[:0]
--- a/permit/order.go
+++ b/permit/order.go
@@ -7,6 +7,7 @@
 
 	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/specs"
+	"github.com/currantloft/currantloft/wirepb"
 )
 
 // order returns the cells to try, the best first: the one that the prefix
@@ -25,7 +26,7 @@
 	} else if ask.Prefix == 0 {
 		key = strconv.FormatUint(rand.Uint64(), 16)
 	}
-	top := rendez.Top(key, names, cellsToTry)
+	top := rendez.Top(key, names, cellsFor(ask))
 	if len(top) >= 2 && !ask.Alone {
 		first, second := d.busy(top[0]), d.busy(top[1])
 		if first > second && (ask.Prefix == 0 || first > busyLimit) {
@@ -39,6 +40,15 @@
 	return ordered
 }
 
+// cellsFor returns how many cells to try. A caller's refusal should come soon
+// and cost little; a trainer's sample may wait wherever a place comes free first.
+func cellsFor(ask Ask) int {
+	if ask.Priority == wirepb.Priority_PRIORITY_INTERACTIVE {
+		return cellsPerCaller
+	}
+	return cellsPerSample
+}
+
 // busy returns the share of a cell's capacity that was taken when it was last
 // heard of; old news counts as idle.
 func (d *Desk) busy(cell string) float64 {
--- a/permit/place.go
+++ b/permit/place.go
@@ -25,24 +25,23 @@
 type (
 	// place is one endpoint as its cell sees it.
 	place struct {
-		name         string
-		url          string
-		limit        float64
-		window       float64
-		inFlight     int
-		alone        bool
-		draining     bool
-		ready        bool
-		leaving      bool
-		reported     bool
-		incarnation  uint64
-		born         time.Time
-		lastPriority wirepb.Priority
-		mean         time.Duration
-		base         time.Duration
-		run          time.Duration
-		started      map[*Grant]time.Time
-		failures     int
+		name        string
+		url         string
+		limit       float64
+		window      float64
+		inFlight    int
+		alone       bool
+		draining    bool
+		ready       bool
+		leaving     bool
+		reported    bool
+		incarnation uint64
+		born        time.Time
+		mean        time.Duration
+		base        time.Duration
+		run         time.Duration
+		started     map[*Grant]time.Time
+		failures    int
 	}
 
 	// PlaceState is a picture of one endpoint.
