fix(steps): a slow platform call for one trainer holds up no other

Cause, found by reading: the janitor and the dump took a job's lock under the keeper's, while that lock may be held during a platform call of seconds.

Not shown failing by a test: the wait needs a platform call in just that moment.

--- a/steps/job.go
+++ b/steps/job.go
@@ -1,6 +1,7 @@
 package steps
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,9 +30,7 @@
 // moved to another keeper.
 func (k *Keeper) freeIdle(set *specs.Set) {
 	view := k.parts.Members.View()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for name, j := range k.jobs {
+	for name, j := range k.snapshot() {
 		trainer, declared := set.Trainer(name)
 		keeper, _ := KeeperOf(view, name)
 		limit := trainer.IdleLimit()
@@ -41,11 +40,21 @@
 		if j.idleFor() > limit {
 			event.StepAbandoned.Log(k.parts.Logger, zap.String("trainer", name))
 			j.drop()
+			k.mu.Lock()
 			delete(k.jobs, name)
+			k.mu.Unlock()
 		}
 	}
 }
 
+// snapshot returns the jobs of this moment. A job's own lock may be held for as
+// long as a platform call takes, so it is never taken under the keeper's.
+func (k *Keeper) snapshot() map[string]*job {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return maps.Clone(k.jobs)
+}
+
 func (j *job) enter() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/steps/state.go
+++ b/steps/state.go
@@ -16,10 +16,9 @@
 
 // States returns a picture of each trainer that the node holds something of.
 func (k *Keeper) States() []JobState {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	states := make([]JobState, 0, len(k.jobs))
-	for _, j := range k.jobs {
+	jobs := k.snapshot()
+	states := make([]JobState, 0, len(jobs))
+	for _, j := range jobs {
 		states = append(states, j.state())
 	}
 	return states
