--- a/integ/bench_test.go
+++ b/integ/bench_test.go
@@ -176,6 +176,31 @@
 	keepReports(b, "interactive", out.String())
 }
 
+// BenchmarkThinPath measures quotes through one node, and through two, where the
+// keeper of half the cells is the other, and a step's time, against the engines
+// alone. It writes docs/figures/thin_path.txt.
+func BenchmarkThinPath(b *testing.B) {
+	var out strings.Builder
+	for range b.N {
+		for _, nodes := range []int{1, 2} {
+			size := userSize
+			size.Nodes = nodes
+			f := newBareFleet(b, size, time.Minute)
+			f.apply(userSet())
+			quotes, trainers := userPlan(f), userPlan(f)
+			quotes.Trainers, trainers.Callers = nil, nil
+			quotes.Duration, trainers.Duration = runTime/2, runTime/2
+			trainers.Trainers = trainers.Trainers[:1]
+			title := fmt.Sprintf("%d nodes", nodes)
+			out.WriteString(table(b, title+": quotes straight to the engines", f, direct(quotes, f.Quotes())))
+			out.WriteString(table(b, title+": quotes through nodes", f, quotes))
+			out.WriteString(table(b, title+": one trainer straight to the engines", f, direct(trainers, f.Samplers())))
+			out.WriteString(table(b, title+": one trainer through nodes", f, trainers))
+		}
+	}
+	keepReports(b, "thin_path", out.String())
+}
+
 // BenchmarkSeal measures a step of 4,096 samples from its last sample to the
 // trainer, and what it writes. It writes docs/figures/seal.txt.
 func BenchmarkSeal(b *testing.B) {
--- a/integ/request_test.go
+++ b/integ/request_test.go
@@ -374,6 +374,13 @@
 func TestAllStopAtOnceCutsNothing(t *testing.T) {
 	f := startFleet(t, smallFleet)
 	f.apply(declared)
+	f.stopAllInFlight()
+}
+
+// stopAllInFlight sends SIGTERM to all nodes while requests are in flight and
+// checks that each gets its answer.
+func (f *fleet) stopAllInFlight() {
+	f.t.Helper()
 	slowPlains(f, 2*time.Second)
 	var tasks sync.WaitGroup
 	errs := make([]error, 10)
@@ -395,11 +402,11 @@
 	}
 	for _, n := range f.nodes {
 		if err := f.awaitExit(n); err != nil {
-			t.Errorf("%s: %v", n.name, err)
+			f.t.Errorf("%s: %v", n.name, err)
 		}
 	}
 	tasks.Wait()
 	if err := errors.Join(errs...); err != nil {
-		t.Fatal(err)
+		f.t.Fatal(err)
 	}
 }
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -13,7 +13,10 @@
 	"github.com/currantloft/currantloft/wirepb"
 )
 
-const dialTimeout = time.Second
+const (
+	dialTimeout    = time.Second
+	retireInterval = time.Second
+)
 
 var errPoolClosed = errors.New("peer pool closed")
 
@@ -23,6 +26,8 @@
 		mu       sync.Mutex
 		sessions map[string]*slot
 		closed   bool
+		done     chan struct{}
+		tasks    sync.WaitGroup
 	}
 
 	// slot serializes dialing to one address.
@@ -33,12 +38,19 @@
 )
 
 // NewPool returns a pool without sessions.
-func NewPool() *Pool { return &Pool{sessions: make(map[string]*slot)} }
+func NewPool() *Pool {
+	return &Pool{sessions: make(map[string]*slot), done: make(chan struct{})}
+}
 
 // Close ends all sessions.
 func (p *Pool) Close() {
 	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return
+	}
 	p.closed = true
+	close(p.done)
 	slots := p.sessions
 	p.sessions = make(map[string]*slot)
 	p.mu.Unlock()
@@ -49,6 +61,7 @@
 		}
 		s.mu.Unlock()
 	}
+	p.tasks.Wait()
 }
 
 // Open starts a call by sending its first frame.
@@ -101,7 +114,32 @@
 func (p *Pool) Forget(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s := p.sessions[address]
+	if s == nil || p.closed {
+		return
+	}
 	delete(p.sessions, address)
+	p.tasks.Go(func() { p.retire(s) })
+}
+
+// retire closes a forgotten session once its last stream has ended.
+func (p *Pool) retire(s *slot) {
+	s.mu.Lock()
+	session := s.session
+	s.mu.Unlock()
+	if session == nil {
+		return
+	}
+	defer session.Close()
+	ticker := time.NewTicker(retireInterval)
+	defer ticker.Stop()
+	for !session.IsClosed() && session.NumStreams() > 0 {
+		select {
+		case <-p.done:
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // Drop closes a session and makes the next call dial again.
--- /dev/null
+++ b/peers/pool_test.go
@@ -0,0 +1,74 @@
+package peers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/wirepb"
+)
+
+func echo(_ context.Context, call *wirepb.Frame, stream *Stream) {
+	switch call.GetBody().(type) {
+	case *wirepb.Frame_Probe:
+		reply := &wirepb.ProbeReply{Reached: true}
+		_ = stream.Send(&wirepb.Frame{Body: &wirepb.Frame_ProbeReply{ProbeReply: reply}})
+	case *wirepb.Frame_Exchange:
+		// Hold the call until the caller gives up.
+		_, _ = stream.Recv()
+	default:
+		_ = stream.Refuse(&wirepb.Problem{Text: "no", NotRun: true, RetryAfterMs: 7})
+	}
+}
+
+func probe(ctx context.Context, p *Pool, address string) error {
+	_, err := p.Do(ctx, address, &wirepb.Frame{Body: &wirepb.Frame_Probe{Probe: &wirepb.Probe{}}})
+	return err
+}
+
+func TestPool(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server, err := Listen("127.0.0.1:0", echo, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	pool := NewPool()
+	defer pool.Close()
+	ctx := context.Background()
+	t.Run("a call is answered", func(t *testing.T) {
+		if err := probe(ctx, pool, server.Address()); err != nil {
+			t.Fatal(err)
+		}
+	})
+	t.Run("a call that times out leaves the session behind", func(t *testing.T) {
+		limited, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		call := &wirepb.Frame{Body: &wirepb.Frame_Exchange{Exchange: &wirepb.Exchange{}}}
+		if _, err := pool.Do(limited, server.Address(), call); err == nil {
+			t.Fatal("answered")
+		}
+		if n := len(pool.sessions); n != 0 {
+			t.Errorf("%d sessions are still in use", n)
+		}
+		if err := probe(ctx, pool, server.Address()); err != nil {
+			t.Fatal(err)
+		}
+	})
+	t.Run("a refusal carries what the callee says", func(t *testing.T) {
+		call := &wirepb.Frame{Body: &wirepb.Frame_PullConfig{PullConfig: &wirepb.PullConfig{}}}
+		stream, err := pool.Open(ctx, server.Address(), call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer stream.Close()
+		_, err = stream.Recv()
+		refused, ok := err.(*RemoteError)
+		if !ok || !refused.NotRun() || refused.RetryAfter() != 7*time.Millisecond {
+			t.Errorf("got %v", err)
+		}
+	})
+}
