--- a/peers/pool_test.go
+++ b/peers/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -72,3 +73,21 @@
 		}
 	})
 }
+
+func FuzzRecv(f *testing.F) {
+	f.Add([]byte{2, 0x22, 0})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		near, far := net.Pipe()
+		stream := newStream(context.Background(), near)
+		defer stream.Close()
+		go func() {
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		for {
+			if _, err := stream.Recv(); err != nil {
+				return
+			}
+		}
+	})
+}
