fix(permit): windows no longer close on endpoints that were passed over first

Cause: the drift of means gave a place a mean before its first answer; its base time then began at one nanosecond, every answer looked three times too slow, and the window closed to 1. A dump under load showed 7 of 10 samplers with a window of 1 beside 352 waiting samples.

Shown failing first: TestWindowsStayOpenAtSteadyCost on the old code gave out fewer places than the windows have.

--- a/permit/cell_test.go
+++ b/permit/cell_test.go
@@ -190,6 +190,28 @@
 	}
 }
 
+func TestWindowsStayOpenAtSteadyCost(t *testing.T) {
+	const endpoints, window = 3, 4
+	c := newTestCell(t, endpoints, window, false)
+	first := <-acquired(c, ask(training, "t", 1))
+	first.Done(answered())
+	for range 20 {
+		var out []*Grant
+		for range endpoints * window {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			g, err := c.Acquire(ctx, ask(training, "t", 1))
+			cancel()
+			if err != nil {
+				t.Fatalf("%d places given out, want %d: %v", len(out), endpoints*window, c.Places())
+			}
+			out = append(out, g)
+		}
+		for _, g := range out {
+			g.Done(answered())
+		}
+	}
+}
+
 func TestUnheardEndpointsAreRefusedSoon(t *testing.T) {
 	c := newTestCell(t, 1, 1, false)
 	c.places["e0"].ready, c.places["e0"].reported = false, false
--- a/permit/place.go
+++ b/permit/place.go
@@ -166,9 +166,7 @@
 		}
 		return cmp.Compare(a.name, b.name)
 	})
-	for _, p := range c.places {
-		p.mean += time.Duration(driftToOthers * float64(best.mean-p.mean))
-	}
+	c.forgive(best)
 	if ask.Prefix == 0 {
 		return best
 	}
@@ -178,6 +176,16 @@
 	return best
 }
 
+// forgive lets the means of places that are passed over drift towards the best
+// one, so that a place that was slow once is tried again.
+func (c *Cell) forgive(best *place) {
+	for _, p := range c.places {
+		if p.mean > best.mean && best.mean > 0 {
+			p.mean -= time.Duration(driftToOthers * float64(p.mean-best.mean))
+		}
+	}
+}
+
 func (c *Cell) fits(p *place, ask Ask) bool {
 	window := int(p.window)
 	if c.layout.Reserve && ask.Priority == wirepb.Priority_PRIORITY_TRAINER {
