--- a/steps/decide_test.go
+++ b/steps/decide_test.go
@@ -150,37 +150,42 @@
 	defer platform.Close()
 	client := object.NewClient(platform.URL(), object.WithBudget(1e9, 1e9))
 	defer client.Close()
-	rapid.Check(t, func(t *rapid.T) {
-		w := &world{
-			t: t, client: client, ctx: context.Background(), platform: platform, step: 1,
-			whole: make(map[uint64]string), sealed: make(map[string]string),
-		}
-		if err := client.Delete(w.ctx, recordKind, "t"); err != nil && !errors.Is(err, object.ErrNotFound) {
-			t.Fatal(err)
-		}
-		for range 3 {
-			w.keepers = append(w.keepers, &keeperModel{})
-		}
-		keeper := func() *keeperModel { return w.keepers[rapid.IntRange(0, 2).Draw(t, "keeper")] }
-		t.Repeat(map[string]func(*rapid.T){
-			"ask":       func(*rapid.T) { w.open(keeper(), w.step) },
-			"ask late":  func(*rapid.T) { w.open(keeper(), max(1, w.step-1)) },
-			"seal":      func(*rapid.T) { w.seal(keeper()) },
-			"supersede": func(*rapid.T) { w.supersede(keeper()) },
-			"die": func(*rapid.T) {
-				*keeper() = keeperModel{}
-			},
-			"lose an answer": func(*rapid.T) {
-				platform.SetFaults(objapi.Faults{LoseAnswers: 1})
-				w.seal(keeper())
-				platform.SetFaults(objapi.Faults{})
-			},
-			"next": func(*rapid.T) {
-				if w.whole[w.step] != "" {
-					w.step++
-				}
-			},
-		})
+	for range 20 {
+		rapid.Check(t, func(t *rapid.T) { stepsExactlyOnce(t, client, platform) })
+	}
+}
+
+// stepsExactlyOnce drives one random sequence.
+func stepsExactlyOnce(t *rapid.T, client *object.Client, platform *objapi.Platform) {
+	w := &world{
+		t: t, client: client, ctx: context.Background(), platform: platform, step: 1,
+		whole: make(map[uint64]string), sealed: make(map[string]string),
+	}
+	if err := client.Delete(w.ctx, recordKind, "t"); err != nil && !errors.Is(err, object.ErrNotFound) {
+		t.Fatal(err)
+	}
+	for range 3 {
+		w.keepers = append(w.keepers, &keeperModel{})
+	}
+	keeper := func() *keeperModel { return w.keepers[rapid.IntRange(0, 2).Draw(t, "keeper")] }
+	t.Repeat(map[string]func(*rapid.T){
+		"ask":       func(*rapid.T) { w.open(keeper(), w.step) },
+		"ask late":  func(*rapid.T) { w.open(keeper(), max(1, w.step-1)) },
+		"seal":      func(*rapid.T) { w.seal(keeper()) },
+		"supersede": func(*rapid.T) { w.supersede(keeper()) },
+		"die": func(*rapid.T) {
+			*keeper() = keeperModel{}
+		},
+		"lose an answer": func(*rapid.T) {
+			platform.SetFaults(objapi.Faults{LoseAnswers: 1})
+			w.seal(keeper())
+			platform.SetFaults(objapi.Faults{})
+		},
+		"next": func(*rapid.T) {
+			if w.whole[w.step] != "" {
+				w.step++
+			}
+		},
 	})
 }
 
