fix(integ): a fleet of one node

Cause: the benchmark ThinPath ended in a panic, index out of range, since the seeds took the second node's port.

--- a/integ/fleet_test.go
+++ b/integ/fleet_test.go
@@ -99,7 +99,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	seeds := []string{fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[2])}
+	var seeds []string
+	for i := range min(2, size.Nodes) {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", ports[2*i]))
+	}
 	dir := t.TempDir()
 	for i := range size.Nodes {
 		f.addNode(dir, proxied, demo.NodeFile{
