--- a/steps/gather.go
+++ b/steps/gather.go
@@ -18,8 +18,8 @@
 
 const (
 	hedgeShare    = 0.9
-	hedgeFactor   = 3
-	hedgeInterval = 100 * time.Millisecond
+	hedgeFactor   = 2
+	hedgeInterval = 50 * time.Millisecond
 	relaunchPause = 200 * time.Millisecond
 	nodesPerGroup = 8
 )
@@ -34,7 +34,6 @@
 
 		mu    sync.Mutex
 		total int
-		whole int
 		times []time.Duration
 	}
 
@@ -56,7 +55,7 @@
 	defer stopWatch()
 	for i := range groups {
 		if groups[i].Samples == nil {
-			g.total++
+			g.total += trainer.Samples()
 		}
 	}
 	var watch sync.WaitGroup
@@ -84,7 +83,7 @@
 	return err
 }
 
-// watchStragglers closes the channel once the groups that are left are late.
+// watchStragglers closes the channel once the samples that are left are late.
 func (g *gathering) watchStragglers(ctx context.Context, hedge chan<- struct{}) {
 	ticker := time.NewTicker(hedgeInterval)
 	defer ticker.Stop()
@@ -101,21 +100,22 @@
 	}
 }
 
-// late reports whether most groups are whole and the rest take far longer.
+// late reports whether most samples are there and the rest take far longer.
 func (g *gathering) late() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	elapsed := time.Since(g.begun)
-	if g.whole == 0 || float64(g.whole) < hedgeShare*float64(g.total)-1 {
+	done := len(g.times)
+	if done == 0 || float64(done) < hedgeShare*float64(g.total) {
 		return elapsed > g.trainer.StepTimeout()/2
 	}
-	return elapsed > hedgeFactor*g.times[len(g.times)/2]/2
+	return elapsed > hedgeFactor*g.times[done/2]
 }
 
-func (g *gathering) groupDone() {
+// sampleDone notes when a sample came, in order of time.
+func (g *gathering) sampleDone() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.whole++
 	g.times = append(g.times, time.Since(g.begun))
 }
 
@@ -130,7 +130,6 @@
 	for {
 		select {
 		case <-w.full:
-			w.gathering.groupDone()
 			return w.samples(), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -220,6 +219,7 @@
 		return
 	}
 	w.got[done.GetIndex()] = sampleOf(call, done)
+	w.gathering.sampleDone()
 	if len(w.got) == w.gathering.trainer.Samples() {
 		close(w.full)
 	}
