--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,7 +27,6 @@
 
 	"github.com/currantloft/currantloft/active"
 	"github.com/currantloft/currantloft/claim"
-	"github.com/currantloft/currantloft/engine"
 	"github.com/currantloft/currantloft/flight"
 	"github.com/currantloft/currantloft/member"
 	"github.com/currantloft/currantloft/peers"
@@ -57,8 +56,6 @@
 		Desk *permit.Desk
 		// Runner runs requests for tokens.
 		Runner *route.Runner
-		// Client calls endpoints of plain services on its connections.
-		Client *engine.Client
 		// Ward judges requests that may crash endpoints.
 		Ward *poison.Ward
 		// Claims makes sure that non-idempotent requests run once.
--- a/node/node.go
+++ b/node/node.go
@@ -114,7 +114,7 @@
 		Platform: n.platform, Client: n.client, Logger: logger,
 	})
 	n.entry = entry.New(entry.Parts{
-		Config: n.config, Members: n.members, Pool: n.pool, Desk: n.desk, Runner: n.runner, Client: n.client,
+		Config: n.config, Members: n.members, Pool: n.pool, Desk: n.desk, Runner: n.runner,
 		Ward: n.ward, Claims: claim.New(n.platform, settings.Name(), logger), Steps: n.steps,
 		Scope: n.meter.Scope(), Metrics: n.meter.Handler(), Dump: n.Dump, Drain: n.Drain,
 		Profile: settings.Profile(), AddressLifetime: settings.AddressLifetime(), Logger: logger,
