fix(cmds): wrong use of a command ends with exit code 2

A flag that a command does not know ended with 1: TestOffline/unknown_flag failed with 'got code 1'; the handler was on the root command only.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -56,16 +56,14 @@
 }
 
 func newRoot(out, errOut io.Writer) *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "currantloft",
 		Usage:                 "rollout service for reinforcement learning, run by declarations in version control",
 		EnableShellCompletion: true,
 		Writer:                out,
 		ErrWriter:             errOut,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &exitError{code: ExitUsage, cause: fmt.Errorf("%w: see currantloft --help", err)}
-		},
+		OnUsageError:          wrongUse,
 		Commands: []*cli.Command{
 			nodeCommand(),
 			checkCommand(),
@@ -80,6 +78,15 @@
 			standInCommand(),
 		},
 	}
+	for _, command := range root.Commands {
+		command.OnUsageError = wrongUse
+	}
+	return root
+}
+
+// wrongUse is what a command line that can't be read comes to.
+func wrongUse(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return usageError("%w: see currantloft --help", err)
 }
 
 // usageError returns an error for a wrong use of the command line.
