--- a/peers/pool.go
+++ b/peers/pool.go
@@ -72,7 +72,7 @@
 	}
 	conn, err := session.OpenStream()
 	if err != nil && !fresh {
-		p.Drop(address, session)
+		p.drop(address, session)
 		session, _, err = p.session(ctx, address)
 		if err != nil {
 			return nil, err
@@ -85,7 +85,7 @@
 	stream := newStream(ctx, conn)
 	if err := stream.Send(call); err != nil {
 		_ = stream.Close()
-		p.Drop(address, session)
+		p.drop(address, session)
 		return nil, fmt.Errorf("calling %s: %w", address, err)
 	}
 	return stream, nil
@@ -142,8 +142,8 @@
 	}
 }
 
-// Drop closes a session and makes the next call dial again.
-func (p *Pool) Drop(address string, session *yamux.Session) {
+// drop closes a session and makes the next call dial again.
+func (p *Pool) drop(address string, session *yamux.Session) {
 	_ = session.Close()
 	p.mu.Lock()
 	s := p.sessions[address]
--- a/permit/estimate.go
+++ b/permit/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/currantloft/currantloft/wirepb"
@@ -95,7 +96,7 @@
 func (c *Cell) countReady(exclude []string) (ready, unknown int) {
 	for _, p := range c.places {
 		switch {
-		case contains(exclude, p.name):
+		case slices.Contains(exclude, p.name):
 		case p.ready:
 			ready++
 		case !p.reported && c.now().Sub(p.born) < unknownPatience:
--- a/permit/place.go
+++ b/permit/place.go
@@ -192,7 +192,7 @@
 		window -= max(1, window/reserveShare)
 		window = max(1, window)
 	}
-	return p.ready && !p.alone && !p.draining && p.inFlight < window && !contains(ask.Exclude, p.name)
+	return p.ready && !p.alone && !p.draining && p.inFlight < window && !slices.Contains(ask.Exclude, p.name)
 }
 
 // chooseAlone finds an idle place; if there is none it empties the one with the
@@ -203,7 +203,7 @@
 	}
 	var least *place
 	for _, p := range c.places {
-		if !p.ready || p.alone || contains(ask.Exclude, p.name) {
+		if !p.ready || p.alone || slices.Contains(ask.Exclude, p.name) {
 			continue
 		}
 		if p.inFlight == 0 {
@@ -233,5 +233,3 @@
 	first, _ := rendez.First(strconv.FormatUint(prefix, 16), names)
 	return c.places[first]
 }
-
-func contains(list []string, name string) bool { return slices.Contains(list, name) }
--- a/steps/job.go
+++ b/steps/job.go
@@ -96,9 +96,7 @@
 	}
 }
 
-// underWay reports whether the run is still being made.
-func (r *run) underWay() bool { return !r.finished() }
-
+// finished reports whether the run has been made, or has failed.
 func (r *run) finished() bool {
 	select {
 	case <-r.done:
--- a/steps/keeper.go
+++ b/steps/keeper.go
@@ -230,7 +230,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	digest := request.digest()
-	if r := j.run; r != nil && r.step == step && r.digest == digest && r.underWay() {
+	if r := j.run; r != nil && r.step == step && r.digest == digest && !r.finished() {
 		return r, nil
 	}
 	if err := k.refresh(ctx, j); err != nil {
