--- /dev/null
+++ b/batch/calls.go
@@ -0,0 +1,269 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/object"
+	"github.com/currantloft/currantloft/rendez"
+	"github.com/currantloft/currantloft/waits"
+)
+
+const (
+	// acceptWait is how long an acceptance is tried while the store is away: an
+	// outage takes some seconds, and the trainer waits for some more.
+	acceptWait = 8 * time.Second
+	// acceptRetry is when a trainer that was refused comes back.
+	acceptRetry = time.Second
+	// endWait is how long the end of a batch is tried to be made lasting.
+	endWait = 3500 * time.Millisecond
+	// peerWait is how long a call to the keeper may take beyond what it waits.
+	peerWait = 600 * time.Millisecond
+	// storedWait is how long a reader waits where no keeper can be asked.
+	storedWait = 300 * time.Millisecond
+)
+
+// Accept makes a batch last and begins to work on it.
+func (k *Keeper) Accept(ctx context.Context, s Submission) Accepted {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, acceptWait)
+	defer cancel()
+	k.mu.Lock()
+	h := k.heads[s.ID]
+	k.mu.Unlock()
+	if h != nil {
+		event.BatchAgain.Log(k.parts.Logger, zap.String("batch", s.ID))
+		return Kept{}
+	}
+	parts, err := k.storeBody(ctx, s)
+	if err != nil {
+		// Without a head no part of the batch can ever run.
+		event.BatchRefused.Log(k.parts.Logger, zap.String("batch", s.ID), zap.Error(err))
+		return NotKept{RetryAfter: acceptRetry, Cause: err}
+	}
+	keeper, incarnation := k.chooseKeeper(s.ID)
+	head := Head{
+		ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, Step: s.Step, Items: len(s.Items),
+		Keeper: keeper, Incarnation: incarnation, AcceptedMs: begun.UnixMilli(), Parts: parts,
+	}
+	head, outcome := k.storeHead(ctx, head)
+	if _, ok := outcome.(Kept); !ok {
+		return outcome
+	}
+	k.parts.Scope.Timer("accept_time").Record(time.Since(begun))
+	event.BatchAccepted.Log(k.parts.Logger, zap.String("batch", s.ID), zap.Int("items", len(s.Items)),
+		zap.String("model", s.Model), zap.Int("step", s.Step), zap.Int("min_version", s.MinVersion),
+		zap.String("keeper", head.Keeper), zap.Duration("took", time.Since(begun)))
+	k.mu.Lock()
+	k.learn(Notice{Head: head})
+	if head.Keeper == k.parts.Name && head.Incarnation == k.parts.Incarnation && !k.leaving {
+		k.open(k.newJob(head, s))
+	}
+	k.mu.Unlock()
+	k.parts.Peers.Tell(Notice{Head: head})
+	return outcome
+}
+
+// chooseKeeper returns who is to keep a new batch: this node unless it leaves.
+func (k *Keeper) chooseKeeper(id string) (string, uint64) {
+	k.mu.Lock()
+	leaving := k.leaving
+	k.mu.Unlock()
+	if leaving {
+		if name, ok := rendez.First(id, k.parts.Peers.Staying()); ok {
+			return name, k.parts.Peers.Incarnation(name)
+		}
+	}
+	return k.parts.Name, k.parts.Incarnation
+}
+
+// storeHead creates the head, which is what accepts the batch.
+func (k *Keeper) storeHead(ctx context.Context, head Head) (Head, Accepted) {
+	spec, err := json.Marshal(head)
+	if err != nil {
+		return head, NotKept{Cause: err}
+	}
+	maybe := false
+	for {
+		_, err := k.parts.Store.Create(ctx, kindHeads, head.ID, spec)
+		var exists *object.ExistsError
+		switch {
+		case err == nil:
+			return head, Kept{}
+		case errors.As(err, &exists):
+			if found, err := decodeHead(exists.Found); err == nil {
+				head = found
+			} else {
+				event.BatchUnreadable.Log(k.parts.Logger, zap.String("batch", head.ID), zap.Error(err))
+			}
+			return head, Kept{}
+		case !errors.Is(err, object.ErrRefused):
+			maybe = true
+		}
+		if waits.For(ctx, storePause) == nil {
+			continue
+		}
+		event.BatchRefused.Log(k.parts.Logger, zap.String("batch", head.ID), zap.Bool("unsure", maybe), zap.Error(err))
+		if maybe {
+			return head, Unsure{Cause: err}
+		}
+		return head, NotKept{RetryAfter: acceptRetry, Cause: err}
+	}
+}
+
+// Read returns results from a position on, waiting for one if there is none.
+func (k *Keeper) Read(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
+	page, err := k.ReadHere(ctx, id, after, wait)
+	if !errors.Is(err, ErrNotKept) {
+		return page, err
+	}
+	h, err := k.head(ctx, id)
+	if err != nil {
+		return Page{}, err
+	}
+	k.mu.Lock()
+	keeper := k.keeperOf(h)
+	k.mu.Unlock()
+	if keeper != k.parts.Name {
+		limited, cancel := context.WithTimeout(ctx, wait+peerWait)
+		page, err = k.parts.Peers.ReadAt(limited, keeper, id, after, wait)
+		cancel()
+		if err == nil {
+			return page, nil
+		}
+		event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", keeper), zap.Error(err))
+		wait = 0
+	}
+	page, err = k.readStored(ctx, h.head, after)
+	if err == nil && len(page.Results) == 0 && page.Next < page.Total && wait > 0 {
+		_ = waits.For(ctx, min(wait, storedWait))
+		return k.readStored(ctx, h.head, after)
+	}
+	return page, err
+}
+
+// ReadHere reads results of a batch that this node keeps, or returns ErrNotKept.
+func (k *Keeper) ReadHere(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		k.mu.Lock()
+		j := k.jobs[id]
+		if j == nil {
+			k.mu.Unlock()
+			return Page{}, ErrNotKept
+		}
+		page := j.book.Page(after, pageBytes)
+		changed := j.changed
+		over := j.book.Ended() || page.Next >= page.Total
+		k.mu.Unlock()
+		if len(page.Results) > 0 || over || wait <= 0 {
+			return page, nil
+		}
+		select {
+		case <-ctx.Done():
+			return page, nil
+		case <-timer.C:
+			return page, nil
+		case <-changed:
+		}
+	}
+}
+
+// Body returns the body of an item.
+func (k *Keeper) Body(ctx context.Context, id, item string) ([]byte, error) {
+	body, err := k.BodyHere(id, item)
+	if !errors.Is(err, ErrNotKept) {
+		return body, err
+	}
+	h, err := k.head(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	k.mu.Lock()
+	keeper := k.keeperOf(h)
+	k.mu.Unlock()
+	if keeper != k.parts.Name {
+		limited, cancel := context.WithTimeout(ctx, peerWait)
+		body, err = k.parts.Peers.BodyAt(limited, keeper, id, item)
+		cancel()
+		if err == nil || errors.Is(err, ErrUnknown) {
+			return body, err
+		}
+	}
+	return k.storedBody(ctx, h.head, item)
+}
+
+// BodyHere returns an item's body of a batch that this node keeps.
+func (k *Keeper) BodyHere(id, item string) ([]byte, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j := k.jobs[id]
+	if j == nil {
+		return nil, ErrNotKept
+	}
+	return bodyOf(j.sub.Items, item)
+}
+
+func (k *Keeper) storedBody(ctx context.Context, head Head, item string) ([]byte, error) {
+	k.mu.Lock()
+	items := k.cache.get(head.ID).items
+	k.mu.Unlock()
+	if items == nil {
+		s, err := k.submission(ctx, head)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrUnsure, err)
+		}
+		items = s.Items
+		k.mu.Lock()
+		k.cache.get(head.ID).items = items
+		k.mu.Unlock()
+	}
+	return bodyOf(items, item)
+}
+
+func bodyOf(items []Item, id string) ([]byte, error) {
+	for i := range items {
+		if items[i].ID == id {
+			return items[i].Body, nil
+		}
+	}
+	return nil, ErrUnknown
+}
+
+// End ends a batch. It returns once the end lasts.
+func (k *Keeper) End(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, endWait)
+	defer cancel()
+	h, err := k.head(ctx, id)
+	if err != nil {
+		return err
+	}
+	k.Learn(Notice{Head: h.head, Ended: true})
+	k.mu.Lock()
+	keeper := k.keeperOf(h)
+	k.mu.Unlock()
+	if keeper != k.parts.Name {
+		limited, cancelLimited := context.WithTimeout(ctx, peerWait)
+		if err := k.parts.Peers.EndAt(limited, keeper, h.head); err != nil {
+			event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", keeper), zap.Error(err))
+		}
+		cancelLimited()
+	}
+	spec, err := json.Marshal(ending{EndedMs: time.Now().UnixMilli()})
+	if err != nil {
+		return fmt.Errorf("encoding the end of a batch: %w", err)
+	}
+	if err := k.create(ctx, kindEnds, id, spec); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnsure, err)
+	}
+	event.BatchEnded.Log(k.parts.Logger, zap.String("batch", id), zap.Duration("age", h.head.Age(time.Now())))
+	k.parts.Peers.Tell(Notice{Head: h.head, Ended: true})
+	return nil
+}
--- /dev/null
+++ b/batch/job.go
@@ -0,0 +1,182 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/object"
+	"github.com/currantloft/currantloft/routes"
+	"github.com/currantloft/currantloft/waits"
+)
+
+const (
+	// chunkShare is the share of an object that the texts of a chunk take; JSON
+	// escapes some bytes.
+	chunkShare = 0.6
+	// dueWait is how long the write loop waits at most before it looks again.
+	dueWait = time.Second
+)
+
+type (
+	// job is a batch that this node keeps. The keeper's lock guards it.
+	job struct {
+		head     Head
+		sub      Submission
+		route    routes.Route
+		book     *Book
+		items    []itemState
+		running  map[int]context.CancelFunc
+		changed  chan struct{}
+		pending  chan struct{}
+		first    time.Time
+		released bool
+	}
+
+	// itemState is what is known of an item that has no result.
+	itemState struct {
+		texts    []string
+		last     int
+		versions []int
+		errors   int
+		failures int
+		avoid    string
+		after    time.Time
+	}
+)
+
+func (k *Keeper) newJob(head Head, s Submission) *job {
+	j := &job{
+		head: head, sub: s, route: k.routeOf(head), book: NewBook(s.Items),
+		items:   make([]itemState, len(s.Items)),
+		running: make(map[int]context.CancelFunc),
+		changed: make(chan struct{}), pending: make(chan struct{}, 1),
+	}
+	for i := range j.items {
+		j.items[i].last = -1
+	}
+	return j
+}
+
+// due returns when the batch's results are due.
+func (j *job) due() time.Time {
+	return time.UnixMilli(j.head.AcceptedMs).Add(j.route.ResultDeadline)
+}
+
+// finish notes an item's result. The caller holds the lock.
+func (k *Keeper) finish(j *job, result Result) {
+	if j.book.Ended() || !j.book.Finish(result) {
+		return
+	}
+	if j.book.Pending() == 1 {
+		j.first = time.Now()
+	}
+	select {
+	case j.pending <- struct{}{}:
+	default:
+	}
+}
+
+// endJob ends a batch's work. The caller holds the lock.
+func (k *Keeper) endJob(j *job) {
+	j.book.End()
+	k.stopRuns(j)
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+func (k *Keeper) stopRuns(j *job) {
+	for _, cancel := range j.running {
+		cancel()
+	}
+}
+
+// writeLoop makes results last, one chunk after the other.
+func (k *Keeper) writeLoop(j *job) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		results, n, wait, done := k.nextChunk(j)
+		if done {
+			return
+		}
+		if results != nil {
+			k.writeChunk(j, n, results)
+			continue
+		}
+		timer.Reset(min(wait, dueWait))
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-j.pending:
+		case <-timer.C:
+		}
+	}
+}
+
+// nextChunk returns the results to write now, or how long to wait.
+func (k *Keeper) nextChunk(j *job) (results []Result, n int, wait time.Duration, done bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if j.released || j.book.Ended() || j.book.Listed() == j.book.Total() {
+		return nil, 0, 0, true
+	}
+	wait = FlushIn(j.book, j.sub.Desired, time.Since(j.first), time.Until(j.due()))
+	if k.leaving && j.book.Pending() > 0 {
+		wait = 0
+	}
+	if wait > 0 {
+		return nil, 0, wait, false
+	}
+	most := int(float64(k.parts.ValueBytes) * chunkShare)
+	return j.book.Next(most), j.book.Chunks(), 0, false
+}
+
+// writeChunk creates chunk n. If another keeper has created it, its results
+// count and ours go into a later one.
+func (k *Keeper) writeChunk(j *job, n int, results []Result) {
+	begun := time.Now()
+	spec, err := json.Marshal(chunk{First: j.book.Listed(), Results: results, Keeper: k.parts.Name})
+	if err != nil {
+		event.BatchUnreadable.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Error(err))
+		return
+	}
+	_, err = k.parts.Store.Create(k.ctx, kindChunks, chunkName(j.head.ID, n), spec)
+	var exists *object.ExistsError
+	if errors.As(err, &exists) {
+		var c chunk
+		if c, err = k.winner(j.head.ID, n, exists.Found); err == nil {
+			event.BatchChunkLost.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("chunk", n),
+				zap.String("winner", c.Keeper))
+			results = c.Results
+		}
+	}
+	if err != nil {
+		event.BatchChunkRetried.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Error(err))
+		_ = waits.For(k.ctx, storePause)
+		return
+	}
+	k.parts.Scope.Timer("chunk_time").Record(time.Since(begun))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j.book.Commit(results)
+	j.first = time.Now()
+	close(j.changed)
+	j.changed = make(chan struct{})
+	if j.book.Listed() == j.book.Total() {
+		event.BatchWhole.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("results", j.book.Listed()),
+			zap.Duration("age", j.head.Age(time.Now())))
+	}
+}
+
+// winner returns the chunk that stands where ours was to go.
+func (k *Keeper) winner(id string, n int, found object.Entry) (chunk, error) {
+	if len(found.Spec) > 0 {
+		return decodeChunk(found)
+	}
+	return k.chunkAt(k.ctx, id, n)
+}
--- /dev/null
+++ b/batch/keeper.go
@@ -0,0 +1,380 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/object"
+	"github.com/currantloft/currantloft/relay"
+	"github.com/currantloft/currantloft/rendez"
+	"github.com/currantloft/currantloft/routes"
+)
+
+const (
+	// sweepInterval is how often a node looks for batches that fell to it.
+	sweepInterval = 400 * time.Millisecond
+	// listInterval is how often heads and ends are listed anew, for those whose
+	// notice was lost.
+	listInterval = 5 * time.Second
+	// settleTime is how long after its start a node waits to learn of others
+	// before it takes over batches.
+	settleTime = 1200 * time.Millisecond
+	// openLife is for how long a batch whose route is unknown is worked on.
+	openLife = 40 * time.Second
+	// pageBytes is the most text in one page of results, in bytes: readers take
+	// 1 MB of JSON.
+	pageBytes = 700 << 10
+)
+
+var (
+	// ErrUnknown says that there certainly is no such batch.
+	ErrUnknown = errors.New("no such batch")
+
+	// ErrNotKept says that this node does not keep the batch.
+	ErrNotKept = errors.New("the batch is not kept here")
+
+	// ErrUnsure says that this node can't tell.
+	ErrUnsure = errors.New("it is not known whether there is such a batch")
+)
+
+type (
+	// Engine runs items.
+	Engine interface {
+		relay.Sender
+		// ReadEvents reads a stream's events until its end or an error.
+		ReadEvents(body io.Reader, emit func(Event) error) error
+	}
+
+	// Notice tells other nodes of a batch.
+	Notice struct {
+		Head Head
+		// Ended says that the batch was ended.
+		Ended bool
+		// Handed says that its keeper has given it up.
+		Handed bool
+	}
+
+	// Peers are the other nodes.
+	Peers interface {
+		// Alive reports whether that start of the node runs, leaving or not.
+		Alive(name string, incarnation uint64) bool
+		// Staying returns the nodes that run and don't leave, with this one.
+		Staying() []string
+		// Incarnation returns the start of a node.
+		Incarnation(name string) uint64
+		// Tell sends a notice to all other nodes.
+		Tell(notice Notice)
+		// ReadAt reads results at the node that keeps the batch, or returns
+		// ErrNotKept.
+		ReadAt(ctx context.Context, name, id string, after int, wait time.Duration) (Page, error)
+		// BodyAt reads an item's body there.
+		BodyAt(ctx context.Context, name, id, item string) ([]byte, error)
+		// EndAt ends the batch there.
+		EndAt(ctx context.Context, name string, head Head) error
+	}
+
+	// Parts are what a keeper works with.
+	Parts struct {
+		Name        string
+		Incarnation uint64
+		Store       object.Store
+		ValueBytes  int
+		Fleet       *fleet.Fleet
+		Engine      Engine
+		Peers       Peers
+		// Routes returns the configuration in force, nil before the first one.
+		Routes func() *routes.Table
+		// Decode reads a submission as it came.
+		Decode func(id, host, path string, raw []byte) (Submission, error)
+		Scope  tally.Scope
+		Logger *zap.Logger
+	}
+
+	// Keeper keeps batches at one node. It is safe for concurrent use.
+	Keeper struct {
+		parts  Parts
+		ctx    context.Context
+		cancel context.CancelFunc
+		tasks  sync.WaitGroup
+		wake   chan struct{}
+
+		mu      sync.Mutex
+		jobs    map[string]*job
+		heads   map[string]*known
+		homes   Homes
+		cache   *cache
+		leaving bool
+	}
+
+	// known is a batch that this node has heard of.
+	known struct {
+		head   Head
+		ended  bool
+		handed bool
+		taking bool
+	}
+)
+
+// New returns a keeper that runs until Close.
+func New(parts Parts) *Keeper {
+	ctx, cancel := context.WithCancel(context.Background())
+	k := &Keeper{
+		parts: parts, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		jobs: make(map[string]*job), heads: make(map[string]*known), homes: make(Homes),
+		cache: newCache(),
+	}
+	k.tasks.Go(k.scheduleLoop)
+	k.tasks.Go(k.sweepLoop)
+	return k
+}
+
+// Close stops all work and waits for it.
+func (k *Keeper) Close() {
+	k.cancel()
+	k.tasks.Wait()
+}
+
+// Learn notes what another node or the store tells of a batch.
+func (k *Keeper) Learn(notice Notice) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.learn(notice)
+}
+
+func (k *Keeper) learn(notice Notice) {
+	id := notice.Head.ID
+	h := k.heads[id]
+	if h == nil {
+		h = &known{head: notice.Head}
+		k.heads[id] = h
+	}
+	h.handed = h.handed || notice.Handed
+	if notice.Ended && !h.ended {
+		h.ended = true
+		if j := k.jobs[id]; j != nil {
+			k.endJob(j)
+		}
+	}
+}
+
+// keeperOf returns the node that a batch falls to. The caller holds the lock.
+func (k *Keeper) keeperOf(h *known) string {
+	if !h.handed && k.parts.Peers.Alive(h.head.Keeper, h.head.Incarnation) {
+		return h.head.Keeper
+	}
+	name, _ := rendez.First(h.head.ID, k.parts.Peers.Staying())
+	return name
+}
+
+// head returns what is known of a batch, from the store if need be.
+func (k *Keeper) head(ctx context.Context, id string) (*known, error) {
+	k.mu.Lock()
+	h := k.heads[id]
+	k.mu.Unlock()
+	if h != nil {
+		return h, nil
+	}
+	record, err := k.parts.Store.Get(ctx, kindHeads, id)
+	if errors.Is(err, object.ErrNotFound) {
+		return nil, ErrUnknown
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnsure, err)
+	}
+	head, err := decodeHead(record)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnsure, err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.learn(Notice{Head: head})
+	return k.heads[id], nil
+}
+
+// sweepLoop takes over batches that fall to this node and gives up those that
+// have gone back to their keeper.
+func (k *Keeper) sweepLoop() {
+	started := time.Now()
+	listed := time.Time{}
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-k.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if now.Sub(started) < settleTime {
+			continue
+		}
+		if now.Sub(listed) > listInterval {
+			fresh := object.Stale
+			if listed.IsZero() {
+				fresh = object.Fresh
+			}
+			if err := k.list(k.ctx, fresh); err != nil {
+				event.BatchListFailed.Log(k.parts.Logger, zap.Error(err))
+				listed = now.Add(time.Second - listInterval)
+			} else {
+				listed = now
+			}
+		}
+		k.sweep(now)
+	}
+}
+
+// list learns of all batches in the store.
+func (k *Keeper) list(ctx context.Context, read object.Read) error {
+	heads, _, err := k.parts.Store.List(ctx, kindHeads, read)
+	if err != nil {
+		return fmt.Errorf("listing batches: %w", err)
+	}
+	ends, _, err := k.parts.Store.List(ctx, kindEnds, read)
+	if err != nil {
+		return fmt.Errorf("listing ended batches: %w", err)
+	}
+	ended := make(map[string]bool, len(ends))
+	for _, record := range ends {
+		ended[record.Name] = true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, record := range heads {
+		head, err := decodeHead(record)
+		if err != nil {
+			event.BatchUnreadable.Log(k.parts.Logger, zap.String("batch", record.Name), zap.Error(err))
+			continue
+		}
+		k.learn(Notice{Head: head, Ended: ended[record.Name]})
+	}
+	return nil
+}
+
+func (k *Keeper) sweep(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving {
+		return
+	}
+	for id, h := range k.heads {
+		j := k.jobs[id]
+		mine := k.keeperOf(h) == k.parts.Name
+		switch {
+		case j == nil && mine && !h.ended && !h.taking && h.head.Age(now) < k.life(h.head):
+			h.taking = true
+			k.tasks.Go(func() { k.takeOver(h) })
+		case j != nil && !mine && !j.book.Ended():
+			event.BatchReleased.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", k.keeperOf(h)))
+			k.stopRuns(j)
+			j.released = true
+			delete(k.jobs, id)
+			close(j.changed)
+			j.changed = make(chan struct{})
+		}
+	}
+}
+
+// life returns for how long a batch's items are worked on.
+func (k *Keeper) life(head Head) time.Duration {
+	if table := k.parts.Routes(); table != nil {
+		if route, ok := table.Match(head.Host, head.Path); ok && route.MaxQueue > 0 {
+			return route.MaxQueue
+		}
+	}
+	return openLife
+}
+
+// takeOver begins to keep a batch that another node kept.
+func (k *Keeper) takeOver(h *known) {
+	begun := time.Now()
+	j, ended, err := k.load(k.ctx, h.head)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h.taking = false
+	switch {
+	case err != nil:
+		event.BatchTakeoverFailed.Log(k.parts.Logger, zap.String("batch", h.head.ID), zap.Error(err))
+	case ended:
+		h.ended = true
+	case h.ended || k.keeperOf(h) != k.parts.Name || k.leaving || k.ctx.Err() != nil:
+	default:
+		event.BatchTakenOver.Log(k.parts.Logger, zap.String("batch", h.head.ID),
+			zap.String("from", h.head.Keeper), zap.Int("listed", j.book.Listed()),
+			zap.Int("total", j.book.Total()), zap.Duration("took", time.Since(begun)))
+		k.parts.Scope.Counter("takeovers").Inc(1)
+		k.open(j)
+	}
+}
+
+// open starts work on a batch. The caller holds the lock.
+func (k *Keeper) open(j *job) {
+	if k.jobs[j.head.ID] != nil {
+		return
+	}
+	k.jobs[j.head.ID] = j
+	k.tasks.Go(func() { k.writeLoop(j) })
+	k.nudge()
+}
+
+// nudge makes the scheduler look again.
+func (k *Keeper) nudge() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Leave makes others take over: no item begins here any more, what runs may
+// end until the context does, then the batches are handed on.
+func (k *Keeper) Leave(ctx context.Context) {
+	k.mu.Lock()
+	k.leaving = true
+	k.mu.Unlock()
+	ticker := time.NewTicker(leavePoll)
+	defer ticker.Stop()
+	for k.busy() && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	k.mu.Lock()
+	var handed []Head
+	for id, j := range k.jobs {
+		k.stopRuns(j)
+		if h := k.heads[id]; h != nil && !h.ended {
+			h.handed = true
+			handed = append(handed, j.head)
+		}
+	}
+	k.mu.Unlock()
+	for _, head := range handed {
+		event.BatchHanded.Log(k.parts.Logger, zap.String("batch", head.ID))
+		k.parts.Peers.Tell(Notice{Head: head, Handed: true})
+	}
+}
+
+// leavePoll is how often a leaving node looks whether its work has ended.
+const leavePoll = 50 * time.Millisecond
+
+// busy reports whether items run or results wait to last.
+func (k *Keeper) busy() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, j := range k.jobs {
+		if len(j.running) > 0 || (j.book.Pending() > 0 && !j.book.Ended()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/batch/run.go
@@ -0,0 +1,315 @@
+package batch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/relay"
+)
+
+const (
+	// rescan is how often waiting items are looked at again without news.
+	rescan = 100 * time.Millisecond
+	// stallLimit is how long a stream may bring nothing before it is continued
+	// elsewhere: events come every 40 ms, every 200 ms at a slow endpoint.
+	stallLimit = 1200 * time.Millisecond
+	// firstLimit is the same before the first event, where prompts of others are
+	// read first.
+	firstLimit = 2500 * time.Millisecond
+	// failurePause is how long an item waits after a failure, times its failures.
+	failurePause = 30 * time.Millisecond
+	// maxFailurePause bounds that.
+	maxFailurePause = time.Second
+	// statusGone is what an endpoint answers for an item that can't ever be done.
+	statusGone = http.StatusUnprocessableEntity
+)
+
+var (
+	errOldVersion  = errors.New("the endpoint's weights are too old")
+	errMixed       = errors.New("the endpoint goes on with other weights than the batch allows")
+	errGap         = errors.New("an event is missing or stands twice")
+	errUnsignedRun = errors.New("the stream bears no signature")
+)
+
+// scheduleLoop starts items whenever something has changed.
+func (k *Keeper) scheduleLoop() {
+	for {
+		waiting := k.schedule()
+		var again <-chan time.Time
+		var timer *time.Timer
+		if waiting {
+			timer = time.NewTimer(rescan)
+			again = timer.C
+		}
+		select {
+		case <-k.ctx.Done():
+		case <-k.wake:
+		case <-k.parts.Fleet.Changed():
+		case <-again:
+		}
+		if timer != nil {
+			timer.Stop()
+		}
+		if k.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// place tells a waiting item of a job.
+type place struct {
+	job  *job
+	item int
+}
+
+// schedule starts what can start and reports whether anything still waits.
+func (k *Keeper) schedule() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving {
+		return false
+	}
+	now := time.Now()
+	waiting := make(map[string][]Waiting)
+	var places []place
+	left := 0
+	for _, j := range k.jobs {
+		if j.book.Ended() || j.released {
+			continue
+		}
+		j.route = k.routeOf(j.head)
+		service := j.route.Service(j.head.ID)
+		for i := range j.sub.Items {
+			it := &j.sub.Items[i]
+			if _, running := j.running[i]; running || j.book.Settled(it.ID) {
+				continue
+			}
+			left++
+			if k.expired(j, i, now) || now.Before(j.items[i].after) {
+				continue
+			}
+			places = append(places, place{job: j, item: i})
+			waiting[service] = append(waiting[service], waitingOf(j, i, len(places)-1))
+		}
+	}
+	for service, list := range waiting {
+		states := k.parts.Fleet.Serving(service)
+		for _, p := range Plan(list, states, k.homes) {
+			k.begin(places[p.Index].job, places[p.Index].item, p.Target)
+			left--
+		}
+	}
+	return left > 0
+}
+
+// expired gives an item up whose time in the queue is over.
+func (k *Keeper) expired(j *job, i int, now time.Time) bool {
+	if j.route.MaxQueue <= 0 || j.head.Age(now) < j.route.MaxQueue {
+		return false
+	}
+	k.giveUp(j, i, "its time in the queue is over")
+	return true
+}
+
+func (k *Keeper) giveUp(j *job, i int, reason string) {
+	it := j.sub.Items[i]
+	event.ItemGivenUp.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
+		zap.String("reason", reason), zap.Int("errors", j.items[i].errors))
+	k.finish(j, Result{Item: it.ID, Failed: true, Text: strings.Join(j.items[i].texts, "\n"), Versions: j.items[i].versions})
+}
+
+func waitingOf(j *job, i, index int) Waiting {
+	it, state := &j.sub.Items[i], &j.items[i]
+	w := Waiting{
+		Index: index, Batch: j.head.ID, Group: it.Group, Model: j.sub.Model, MinVersion: j.sub.MinVersion,
+		Length: it.Length, Due: j.due(), Avoid: state.avoid,
+	}
+	if j.route.SingleVersion && len(state.versions) == 1 {
+		w.Only = state.versions[0]
+	}
+	return w
+}
+
+// begin runs an item at an endpoint. The caller holds the lock.
+func (k *Keeper) begin(j *job, i int, target fleet.Target) {
+	ctx, cancel := context.WithCancel(k.ctx)
+	j.running[i] = cancel
+	k.parts.Fleet.Begin(target.ID())
+	k.tasks.Go(func() {
+		defer cancel()
+		reply, err := k.runItem(ctx, cancel, j, i, target)
+		k.parts.Fleet.End(target.ID(), runResult(ctx, reply, err))
+		k.after(ctx, j, i, target, reply, err)
+	})
+}
+
+// runItem sends an item to an endpoint and reads its events to the end.
+func (k *Keeper) runItem(
+	ctx context.Context, cancel context.CancelFunc, j *job, i int, target fleet.Target,
+) (relay.Reply, error) {
+	it := &j.sub.Items[i]
+	k.mu.Lock()
+	last := j.items[i].last
+	k.mu.Unlock()
+	watchdog := time.AfterFunc(firstLimit, cancel)
+	defer watchdog.Stop()
+	reply := k.parts.Engine.Send(ctx, target, relay.Request{
+		ID: it.ID, Host: j.head.Host, Method: http.MethodPost, Target: it.Path, Header: it.Header,
+		Body: it.Body, After: last,
+	})
+	answer, ok := reply.(relay.Answer)
+	if !ok {
+		return reply, replyCause(reply)
+	}
+	defer answer.Body.Close()
+	if answer.Status != http.StatusOK {
+		return reply, fmt.Errorf("endpoint %s answered %d", target.ID(), answer.Status)
+	}
+	if !answer.Signed {
+		return reply, errUnsignedRun
+	}
+	r := &reading{keeper: k, job: j, item: i, target: target, version: answer.Version, watchdog: watchdog}
+	if err := r.admit(answer.Version); err != nil {
+		return reply, err
+	}
+	return reply, k.parts.Engine.ReadEvents(answer.Body, r.event)
+}
+
+// reading is the state of one stream that is read.
+type reading struct {
+	keeper   *Keeper
+	job      *job
+	item     int
+	target   fleet.Target
+	version  int
+	at       time.Time
+	watchdog *time.Timer
+}
+
+// admit checks the weight version that generates from now on.
+func (r *reading) admit(version int) error {
+	if version == 0 {
+		return nil
+	}
+	k, j := r.keeper, r.job
+	k.parts.Fleet.SawVersion(r.target.ID(), j.sub.Model, version)
+	if version < j.sub.MinVersion {
+		return errOldVersion
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	state := &j.items[r.item]
+	if j.route.SingleVersion && len(state.versions) > 0 && state.versions[0] != version {
+		*state = itemState{last: -1, errors: state.errors, failures: state.failures}
+		return errMixed
+	}
+	return nil
+}
+
+func (r *reading) event(e Event) error {
+	now := time.Now()
+	r.watchdog.Reset(stallLimit)
+	if e.Version != 0 && e.Version != r.version {
+		r.version = e.Version
+		if err := r.admit(e.Version); err != nil {
+			return err
+		}
+	}
+	k, j := r.keeper, r.job
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	state := &j.items[r.item]
+	if state.last >= 0 && e.ID != state.last+1 {
+		return fmt.Errorf("%w: event %d after %d", errGap, e.ID, state.last)
+	}
+	if !r.at.IsZero() {
+		k.parts.Fleet.Paced(r.target.ID(), now.Sub(r.at))
+	}
+	r.at = now
+	state.last = e.ID
+	state.texts = append(state.texts, e.Data)
+	if r.version != 0 && !slices.Contains(state.versions, r.version) {
+		state.versions = append(state.versions, r.version)
+	}
+	return nil
+}
+
+// after decides what the end of a run means for its item.
+func (k *Keeper) after(ctx context.Context, j *job, i int, target fleet.Target, reply relay.Reply, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	defer k.nudge()
+	delete(j.running, i)
+	if j.released || j.book.Ended() {
+		return
+	}
+	state, it := &j.items[i], &j.sub.Items[i]
+	if err == nil {
+		k.parts.Scope.Counter("items_done").Inc(1)
+		k.finish(j, Result{Item: it.ID, Text: strings.Join(state.texts, "\n"), Versions: state.versions})
+		state.texts = nil
+		return
+	}
+	if k.ctx.Err() != nil {
+		return
+	}
+	state.avoid = target.ID()
+	state.failures++
+	state.after = time.Now().Add(min(maxFailurePause, failurePause*time.Duration(state.failures)))
+	event.ItemRunFailed.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
+		zap.String("endpoint", target.ID()), zap.Int("events", len(state.texts)),
+		zap.Bool("stalled", ctx.Err() != nil), zap.Error(err))
+	k.parts.Scope.Counter("item_failures").Inc(1)
+	answer, ok := reply.(relay.Answer)
+	if !ok {
+		return
+	}
+	switch answer.Status {
+	case statusGone:
+		k.giveUp(j, i, "the endpoint says that it can't ever be done")
+	case http.StatusInternalServerError:
+		state.errors++
+		if state.errors >= j.route.Attempts() {
+			k.giveUp(j, i, "it failed too often")
+		}
+	}
+}
+
+func replyCause(reply relay.Reply) error {
+	switch r := reply.(type) {
+	case relay.NotRun:
+		return r.Cause
+	case relay.Lost:
+		return r.Cause
+	default:
+		return io.ErrUnexpectedEOF
+	}
+}
+
+func runResult(ctx context.Context, reply relay.Reply, err error) fleet.Result {
+	switch r := reply.(type) {
+	case relay.NotRun:
+		if r.Full {
+			return fleet.Full
+		}
+		return fleet.Failed
+	case relay.Answer:
+		if err == nil || errors.Is(err, errOldVersion) || errors.Is(err, errMixed) || r.Status != http.StatusOK {
+			return fleet.Worked
+		}
+	}
+	if ctx.Err() != nil {
+		return fleet.Withdrawn
+	}
+	return fleet.Failed
+}
--- /dev/null
+++ b/cmds/edge.go
@@ -0,0 +1,63 @@
+package cmds
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/edge"
+	"github.com/currantloft/currantloft/platform"
+	"github.com/currantloft/currantloft/setup"
+)
+
+func edgeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "edge",
+		Usage: "run one node on the prepared platform until SIGTERM, then stop gracefully",
+		Flags: hostFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return onHost(c, func(settings *setup.Host, logger *zap.Logger) error {
+				return edge.New(settings, logger).Run(ctx)
+			})
+		},
+	}
+}
+
+func storeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "store",
+		Usage: "run the process of a storage host on the prepared platform",
+		Flags: hostFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return onHost(c, func(settings *setup.Host, logger *zap.Logger) error {
+				return edge.NewStorage(settings, logger).Run(ctx)
+			})
+		},
+	}
+}
+
+func hostFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name: "settings", Usage: "the platform's settings `FILE`", Sources: cli.EnvVars(platform.SettingsVariable),
+			Required: true,
+		},
+		&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warn or error"},
+	}
+}
+
+// onHost reads the platform's settings and runs a process with them.
+func onHost(c *cli.Command, run func(*setup.Host, *zap.Logger) error) error {
+	settings, err := platform.LoadSettings(c.String("settings"))
+	if err != nil {
+		return &exitError{code: ExitFindings, cause: err}
+	}
+	logger, closer, err := newHostLogger(os.Stdout, c.String("log-level"))
+	if err != nil {
+		return usageError("log-level: %w", err)
+	}
+	defer closer.Close()
+	return run(settings, logger)
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -66,6 +66,8 @@
 		OnUsageError:          wrongUse,
 		Commands: []*cli.Command{
 			nodeCommand(),
+			edgeCommand(),
+			storeCommand(),
 			checkCommand(),
 			planCommand(),
 			applyCommand(),
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,244 @@
+// Package edge puts the parts of a node on the prepared platform together: the
+// callers' listeners, the watches of the platform's store, the batches, the
+// orders to endpoints and the calls between nodes.
+//
+// # Usage
+//
+//	e, err := edge.New(settings, logger)
+//	err = e.Run(ctx) // until ctx ends, then a graceful shutdown
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantloft/currantloft/batch"
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/meter"
+	"github.com/currantloft/currantloft/orders"
+	"github.com/currantloft/currantloft/peers"
+	"github.com/currantloft/currantloft/platform"
+	"github.com/currantloft/currantloft/relay"
+	"github.com/currantloft/currantloft/roster"
+	"github.com/currantloft/currantloft/routes"
+	"github.com/currantloft/currantloft/setup"
+	"github.com/currantloft/currantloft/waits"
+)
+
+const (
+	// addressLife is how long a caller may keep an address answer. Some keep it
+	// three times as long, which must fit into the time for a planned stop.
+	addressLife = 1500 * time.Millisecond
+	// staleLife is how long addresses may be in use after a node began to leave.
+	staleLife = 3 * addressLife
+	// stopReserve is what is left of the time for a planned stop at its end.
+	stopReserve = 1200 * time.Millisecond
+	// quietTime is how long a leaving node lets running items end.
+	quietTime = 2500 * time.Millisecond
+	// memoryShare is the share of the memory limit that the garbage collector
+	// aims at; the rest is for stacks and what has not been read yet.
+	memoryShare = 0.7
+	// idleTimeout is how long an idle connection of a caller is kept; the
+	// configuration's own limit is 15 s.
+	idleTimeout = 20 * time.Second
+	// headerTimeout is how long a caller may take to send its headers.
+	headerTimeout = 5 * time.Second
+)
+
+type (
+	// Edge is one node on the prepared platform.
+	Edge struct {
+		settings *setup.Host
+		logger   *zap.Logger
+		meter    *meter.Meter
+		store    *platform.Store
+		pool     *peers.Pool
+		roster   *roster.Roster
+		fleet    *fleet.Fleet
+		sender   *platform.Sender
+		relay    *relay.Relay
+		keeper   *batch.Keeper
+		giver    *orders.Giver
+		table    atomic.Pointer[routes.Table]
+		// lapse is the Unix nanosecond until which removed entries may come back.
+		lapse   atomic.Int64
+		leaving atomic.Bool
+	}
+)
+
+// New puts a node together; nothing listens yet.
+func New(settings *setup.Host, logger *zap.Logger) *Edge {
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory())))
+	e := &Edge{
+		settings: settings, logger: logger, meter: meter.New(), pool: peers.NewPool(),
+		fleet: fleet.New(time.Now),
+	}
+	e.store = platform.NewStore(settings.Store(), logger)
+	e.sender = platform.NewSender(e.fleet)
+	self := roster.Host{
+		Name: settings.Name(), Incarnation: uint64(time.Now().UnixNano()), Domain: settings.Domain(),
+		Callers: settings.Callers(), Peers: settings.Peers(),
+	}
+	e.roster = roster.New(self, e.store, e.pool, logger)
+	o := &others{Roster: e.roster, pool: e.pool, logger: logger}
+	e.store.SetDetour(o.detour)
+	e.relay = relay.New(e.fleet, e.sender, settings.Domain(), e.meter.Scope(), logger)
+	e.keeper = batch.New(batch.Parts{
+		Name: self.Name, Incarnation: self.Incarnation, Store: e.store, ValueBytes: settings.StoreValueBytes(),
+		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: o, Routes: e.table.Load,
+		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
+	})
+	e.giver = orders.New(orders.Parts{
+		Name: self.Name, Store: e.store, Fleet: e.fleet,
+		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), orders.Boottime),
+		Orders: e.sender, Routes: e.table.Load, Staying: e.roster.Staying,
+		Kind: platform.KindVersions, Decode: platform.DecodeNamedVersion, Logger: logger,
+	})
+	return e
+}
+
+// Run serves until the context ends, then leaves gracefully.
+func (e *Edge) Run(ctx context.Context) error {
+	event.NodeStarting.Log(e.logger, zap.String("node", e.settings.Name()))
+	peerServer, err := peers.Listen(e.settings.Peers(), e.serve, e.logger)
+	if err != nil {
+		return err
+	}
+	handler := platform.NewHandler(e, e.logger)
+	servers, err := e.listen(handler)
+	if err != nil {
+		return errors.Join(err, peerServer.Close())
+	}
+	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(parts)
+	for _, run := range []func(context.Context) error{
+		e.roster.Run, e.followRoutes, e.followEndpoints, e.giver.Run,
+	} {
+		group.Go(func() error { return run(groupCtx) })
+	}
+	select {
+	case <-ctx.Done():
+	case <-groupCtx.Done():
+	}
+	e.leave(servers)
+	stop()
+	err = group.Wait()
+	e.keeper.Close()
+	e.pool.Close()
+	err = errors.Join(err, peerServer.Close())
+	e.sender.Close()
+	e.store.Close()
+	err = errors.Join(err, e.meter.Close())
+	event.NodeStopped.Log(e.logger, zap.String("node", e.settings.Name()))
+	return err
+}
+
+// listen opens the listeners that the settings name.
+func (e *Edge) listen(handler *platform.Handler) ([]*http.Server, error) {
+	var servers []*http.Server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.settings.Callers(), handler},
+		{e.settings.Ready(), handler.Ready()},
+		{e.settings.Resolver(), handler.Resolver()},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return servers, fmt.Errorf("listening: %w", err)
+		}
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		servers = append(servers, server)
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				e.logger.Error("serving callers", zap.Error(err))
+			}
+		}()
+	}
+	return servers, nil
+}
+
+// leave is the planned stop: callers are sent elsewhere, batches are handed on,
+// and connections are closed once no caller can hold this node's address.
+func (e *Edge) leave(servers []*http.Server) {
+	begun := time.Now()
+	event.NodeLeaving.Log(e.logger, zap.String("node", e.settings.Name()))
+	e.leaving.Store(true)
+	deadline := begun.Add(e.settings.Grace() - stopReserve)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	e.roster.Leave(ctx)
+	quiet, cancelQuiet := context.WithTimeout(ctx, quietTime)
+	e.keeper.Leave(quiet)
+	cancelQuiet()
+	if err := waits.For(ctx, time.Until(begun.Add(staleLife))); err != nil {
+		event.NodeDrainTimeout.Log(e.logger, zap.Error(err))
+	}
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			event.NodeDrainTimeout.Log(e.logger, zap.Error(err))
+			if err := server.Close(); err != nil {
+				e.logger.Debug("closing a listener", zap.Error(err))
+			}
+		}
+	}
+}
+
+// Ready reports whether the node wants requests.
+func (e *Edge) Ready() bool { return !e.leaving.Load() && e.table.Load() != nil }
+
+// Leaving reports whether callers should use other connections.
+func (e *Edge) Leaving() bool { return e.leaving.Load() }
+
+// Routes returns the configuration in force.
+func (e *Edge) Routes() *routes.Table { return e.table.Load() }
+
+// Addresses returns the nodes that callers may connect to.
+func (e *Edge) Addresses() ([]string, time.Duration) {
+	const most = 64
+	var addresses []string
+	for _, h := range e.roster.StayingHosts() {
+		if h.Callers != "" && len(addresses) < most {
+			addresses = append(addresses, h.Callers)
+		}
+	}
+	return addresses, addressLife
+}
+
+// Serve answers a plain request.
+func (e *Edge) Serve(ctx context.Context, request relay.Request, route routes.Route) relay.End {
+	return e.relay.Serve(ctx, request, route)
+}
+
+// Accept keeps a batch.
+func (e *Edge) Accept(ctx context.Context, s batch.Submission) batch.Accepted {
+	return e.keeper.Accept(ctx, s)
+}
+
+// Read returns results of a batch.
+func (e *Edge) Read(ctx context.Context, id string, after int, wait time.Duration) (batch.Page, error) {
+	return e.keeper.Read(ctx, id, after, wait)
+}
+
+// Body returns the body of an item.
+func (e *Edge) Body(ctx context.Context, id, item string) ([]byte, error) {
+	return e.keeper.Body(ctx, id, item)
+}
+
+// End ends a batch.
+func (e *Edge) End(ctx context.Context, id string) error { return e.keeper.End(ctx, id) }
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,209 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/batch"
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/peers"
+	"github.com/currantloft/currantloft/roster"
+	"github.com/currantloft/currantloft/wirepb"
+)
+
+const (
+	// noticeLimit is how long a notice may take; a lost one is made up for by the
+	// list of batches.
+	noticeLimit = time.Second
+	// detourLimit bounds a store call for another node.
+	detourLimit = 12 * time.Second
+)
+
+// others is what the batches' keeper does with other nodes.
+type others struct {
+	*roster.Roster
+	pool   *peers.Pool
+	logger *zap.Logger
+}
+
+var _ batch.Peers = (*others)(nil)
+
+// Tell sends a notice to all other nodes.
+func (o *others) Tell(notice batch.Notice) {
+	call := &wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotice(notice)}}
+	for _, h := range o.Others() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
+			defer cancel()
+			if _, err := o.pool.Do(ctx, h.Peers, call); err != nil {
+				event.BatchPeerFailed.Log(o.logger, zap.String("batch", notice.Head.ID), zap.String("host", h.Name), zap.Error(err))
+			}
+		}()
+	}
+}
+
+// ReadAt reads results at another node.
+func (o *others) ReadAt(ctx context.Context, name, id string, after int, wait time.Duration) (batch.Page, error) {
+	frame, err := o.do(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchRead{BatchRead: &wirepb.BatchRead{
+		Id: id, After: int64(after), WaitMs: wait.Milliseconds(),
+	}}})
+	if err != nil {
+		return batch.Page{}, err
+	}
+	reply := frame.GetBatchPage()
+	if !reply.GetKept() {
+		return batch.Page{}, batch.ErrNotKept
+	}
+	page := batch.Page{Total: int(reply.GetTotal()), Next: int(reply.GetNext())}
+	for _, r := range reply.GetResults() {
+		result := batch.Result{Item: r.GetItem(), Failed: r.GetFailed(), Text: string(r.GetText())}
+		for _, v := range r.GetVersions() {
+			result.Versions = append(result.Versions, int(v))
+		}
+		page.Results = append(page.Results, result)
+	}
+	return page, nil
+}
+
+// BodyAt reads an item's body at another node.
+func (o *others) BodyAt(ctx context.Context, name, id, item string) ([]byte, error) {
+	frame, err := o.do(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchBody{BatchBody: &wirepb.BatchBody{Id: id, Item: item}}})
+	if err != nil {
+		return nil, err
+	}
+	reply := frame.GetBatchBodyReply()
+	switch {
+	case !reply.GetKept():
+		return nil, batch.ErrNotKept
+	case !reply.GetFound():
+		return nil, batch.ErrUnknown
+	default:
+		return reply.GetBody(), nil
+	}
+}
+
+// EndAt ends a batch at another node.
+func (o *others) EndAt(ctx context.Context, name string, head batch.Head) error {
+	notice := encodeNotice(batch.Notice{Head: head, Ended: true})
+	_, err := o.do(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: notice}})
+	return err
+}
+
+func (o *others) do(ctx context.Context, name string, call *wirepb.Frame) (*wirepb.Frame, error) {
+	h, ok := o.Host(name)
+	if !ok {
+		return nil, batch.ErrNotKept
+	}
+	return o.pool.Do(ctx, h.Peers, call)
+}
+
+// detour makes a store call through a random other node.
+func (o *others) detour(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
+	hosts := o.Others()
+	if len(hosts) == 0 {
+		return 0, nil, nil
+	}
+	h := hosts[rand.IntN(len(hosts))]
+	limit := detourLimit
+	if deadline, ok := ctx.Deadline(); ok {
+		limit = time.Until(deadline)
+	}
+	frame, err := o.pool.Do(ctx, h.Peers, &wirepb.Frame{Body: &wirepb.Frame_StoreCall{StoreCall: &wirepb.StoreCall{
+		Method: method, Target: target, Body: body, LimitMs: limit.Milliseconds(),
+	}}})
+	if err != nil {
+		return 0, nil, err
+	}
+	reply := frame.GetStoreReply()
+	return int(reply.GetStatus()), reply.GetBody(), nil
+}
+
+// serve answers one call of another node.
+func (e *Edge) serve(ctx context.Context, call *wirepb.Frame, stream *peers.Stream) {
+	var reply *wirepb.Frame
+	switch body := call.GetBody().(type) {
+	case *wirepb.Frame_Hello:
+		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: e.roster.Serve(body.Hello)}}
+	case *wirepb.Frame_BatchNotice:
+		e.keeper.Learn(decodeNotice(body.BatchNotice))
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
+	case *wirepb.Frame_BatchRead:
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: e.serveRead(ctx, body.BatchRead)}}
+	case *wirepb.Frame_BatchBody:
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchBodyReply{BatchBodyReply: e.serveBody(body.BatchBody)}}
+	case *wirepb.Frame_StoreCall:
+		reply = &wirepb.Frame{Body: &wirepb.Frame_StoreReply{StoreReply: e.serveStore(ctx, body.StoreCall)}}
+	default:
+		if err := stream.Refuse(&wirepb.Problem{Text: "unknown kind of call", NotRun: true}); err != nil {
+			e.logger.Debug("refusing a call", zap.Error(err))
+		}
+		return
+	}
+	if err := stream.Send(reply); err != nil {
+		e.logger.Debug("answering a call", zap.Error(err))
+	}
+}
+
+func (e *Edge) serveRead(ctx context.Context, read *wirepb.BatchRead) *wirepb.BatchPage {
+	page, err := e.keeper.ReadHere(ctx, read.GetId(), int(read.GetAfter()), time.Duration(read.GetWaitMs())*time.Millisecond)
+	if err != nil {
+		return &wirepb.BatchPage{}
+	}
+	reply := &wirepb.BatchPage{Kept: true, Total: int64(page.Total), Next: int64(page.Next)}
+	for _, r := range page.Results {
+		result := &wirepb.BatchResult{Item: r.Item, Failed: r.Failed, Text: []byte(r.Text)}
+		for _, v := range r.Versions {
+			result.Versions = append(result.Versions, int64(v))
+		}
+		reply.Results = append(reply.Results, result)
+	}
+	return reply
+}
+
+func (e *Edge) serveBody(call *wirepb.BatchBody) *wirepb.BatchBodyReply {
+	body, err := e.keeper.BodyHere(call.GetId(), call.GetItem())
+	switch err {
+	case nil:
+		return &wirepb.BatchBodyReply{Kept: true, Found: true, Body: body}
+	case batch.ErrUnknown:
+		return &wirepb.BatchBodyReply{Kept: true}
+	default:
+		return &wirepb.BatchBodyReply{}
+	}
+}
+
+func (e *Edge) serveStore(ctx context.Context, call *wirepb.StoreCall) *wirepb.StoreReply {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(call.GetLimitMs())*time.Millisecond)
+	defer cancel()
+	var body []byte
+	if len(call.GetBody()) > 0 {
+		body = call.GetBody()
+	}
+	status, reply, err := e.store.Direct(ctx, call.GetMethod(), call.GetTarget(), body)
+	if err != nil {
+		return &wirepb.StoreReply{}
+	}
+	return &wirepb.StoreReply{Status: uint32(status), Body: reply}
+}
+
+func encodeNotice(n batch.Notice) *wirepb.BatchNotice {
+	return &wirepb.BatchNotice{
+		Id: n.Head.ID, Host: n.Head.Host, Path: n.Head.Path, Model: n.Head.Model, Step: int64(n.Head.Step),
+		Items: int64(n.Head.Items), Keeper: n.Head.Keeper, Incarnation: n.Head.Incarnation,
+		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.Parts), Ended: n.Ended, Handed: n.Handed,
+	}
+}
+
+func decodeNotice(n *wirepb.BatchNotice) batch.Notice {
+	return batch.Notice{
+		Head: batch.Head{
+			ID: n.GetId(), Host: n.GetHost(), Path: n.GetPath(), Model: n.GetModel(), Step: int(n.GetStep()),
+			Items: int(n.GetItems()), Keeper: n.GetKeeper(), Incarnation: n.GetIncarnation(),
+			AcceptedMs: n.GetAcceptedMs(), Parts: int(n.GetParts()),
+		},
+		Ended: n.GetEnded(), Handed: n.GetHanded(),
+	}
+}
--- /dev/null
+++ b/edge/storage.go
@@ -0,0 +1,88 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/object"
+	"github.com/currantloft/currantloft/platform"
+	"github.com/currantloft/currantloft/setup"
+	"github.com/currantloft/currantloft/waits"
+)
+
+// retirePause is how often a storage host asks whether it is to be emptied while
+// the store does not answer.
+const retirePause = 500 * time.Millisecond
+
+// Storage is the process on a host with a disk. Nothing lasts there, so that it
+// can be emptied at any time.
+type Storage struct {
+	settings *setup.Host
+	store    *platform.Store
+	logger   *zap.Logger
+}
+
+// NewStorage returns a storage process.
+func NewStorage(settings *setup.Host, logger *zap.Logger) *Storage {
+	return &Storage{settings: settings, logger: logger, store: platform.NewStore(settings.Store(), logger)}
+}
+
+// Run answers requests to empty the host until the context ends.
+func (s *Storage) Run(ctx context.Context) error {
+	event.NodeStarting.Log(s.logger, zap.String("node", s.settings.Name()))
+	defer s.store.Close()
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		var err error
+		if revision, err = s.watch(ctx, revision); err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			event.WatchFailed.Log(s.logger, zap.String("kind", platform.KindRetirements), zap.Error(err))
+			revision = 0
+			_ = waits.For(ctx, retirePause)
+		}
+	}
+	event.NodeStopped.Log(s.logger, zap.String("node", s.settings.Name()))
+	return nil
+}
+
+// watch lists the requests once and then waits for more.
+func (s *Storage) watch(ctx context.Context, revision uint64) (uint64, error) {
+	var entries []object.Entry
+	if revision == 0 {
+		listed, at, err := s.store.List(ctx, platform.KindRetirements, object.Fresh)
+		if err != nil {
+			return 0, fmt.Errorf("listing requests to empty a host: %w", err)
+		}
+		entries, revision = listed, at
+	} else {
+		changes, next, err := s.store.Watch(ctx, platform.KindRetirements, revision)
+		if errors.Is(err, object.ErrHistoryGone) {
+			return 0, nil
+		}
+		if err != nil {
+			return 0, fmt.Errorf("watching requests to empty a host: %w", err)
+		}
+		for _, change := range changes {
+			if !change.Removed {
+				entries = append(entries, change.Entry)
+			}
+		}
+		revision = next
+	}
+	for _, entry := range entries {
+		if entry.Name == s.settings.Name() && !platform.RetirementDone(entry.Status) {
+			if err := s.store.SetStatus(ctx, platform.KindRetirements, entry.Name, platform.EncodeRetired()); err != nil {
+				return 0, fmt.Errorf("reporting that the host is empty: %w", err)
+			}
+			event.EntryEmptied.Log(s.logger, zap.String("node", entry.Name))
+		}
+	}
+	return revision, nil
+}
--- /dev/null
+++ b/fleet/pick.go
@@ -0,0 +1,54 @@
+package fleet
+
+import "slices"
+
+// Pick chooses an endpoint for one request: of those that are not excluded, the
+// least busy one for its slots, an endpoint of the own failure domain before
+// others. Endpoints that failed a moment ago are taken only when there is no
+// other. Spread draws among equals; it is a random number.
+//
+// Load pattern: many nodes that each send few requests to few endpoints, some
+// of which are slow or dead.
+func Pick(states []State, domain string, exclude []string, spread int) (State, bool) {
+	best, found := -1, false
+	var bestRank [4]float64
+	for n := range states {
+		i := (n + spread) % len(states)
+		s := states[i]
+		if slices.Contains(exclude, s.Entry.ID) {
+			continue
+		}
+		rank := rankOf(s, domain)
+		if !found || less(rank, bestRank) {
+			best, bestRank, found = i, rank, true
+		}
+	}
+	if !found {
+		return State{}, false
+	}
+	return states[best], true
+}
+
+func rankOf(s State, domain string) [4]float64 {
+	var rank [4]float64
+	if s.Paused {
+		rank[0] = 1
+	}
+	if s.Loading {
+		rank[1] = 1
+	}
+	rank[2] = float64(s.Busy()) / float64(max(1, s.Entry.Slots))
+	if s.Entry.Domain != domain {
+		rank[3] = 1
+	}
+	return rank
+}
+
+func less(a, b [4]float64) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,393 @@
+// Package roster tells a node which other nodes there are: who is alive, who
+// leaves, and where they listen.
+//
+// A node registers itself in the platform's store when it starts, reads who else
+// has, and says hello to each of them over and over. What a node hears that way
+// outlasts an outage of the store. Nothing is decided by it that must not be
+// decided twice: that is the store's.
+//
+// # Usage
+//
+//	r := roster.New(self, store, pool, logger)
+//	go r.Run(ctx)
+//	r.Staying() // names of nodes that run and don't leave
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/object"
+	"github.com/currantloft/currantloft/peers"
+	"github.com/currantloft/currantloft/waits"
+	"github.com/currantloft/currantloft/wirepb"
+)
+
+const (
+	// kindHosts is the kind of the nodes' own entries.
+	kindHosts = "hosts"
+	// minInterval is the pause between two hellos to a node in a small fleet.
+	minInterval = 700 * time.Millisecond
+	// perNode stretches the pause so that a node's hellos stay within its share
+	// of processor time, whatever the size of the fleet.
+	perNode = 40 * time.Millisecond
+	// helloLimit is how long a hello may take; an answer takes two milliseconds,
+	// and a lost packet is sent again after 200.
+	helloLimit = 600 * time.Millisecond
+	// deadAfter is how many hellos in a row must fail; a refused connection
+	// counts at once, since then the process is gone.
+	deadAfter = 2
+	// listInterval is how often the entries are read for nodes that no hello has
+	// told of.
+	listInterval = 6 * time.Second
+	// registerPause is the pause between two tries to register.
+	registerPause = 300 * time.Millisecond
+	// forgetAfter is how long a dead node is kept in mind.
+	forgetAfter = 90 * time.Second
+	// atOnce bounds the hellos in flight.
+	atOnce = 16
+)
+
+type (
+	// Host is what is known of a node.
+	Host struct {
+		Name        string `json:"name"`
+		Incarnation uint64 `json:"incarnation"`
+		Domain      string `json:"domain"`
+		// Callers and Peers are where callers and other nodes connect.
+		Callers string `json:"callers"`
+		Peers   string `json:"peers"`
+		Leaving bool   `json:"-"`
+	}
+
+	// Roster is safe for concurrent use.
+	Roster struct {
+		store  object.Store
+		pool   *peers.Pool
+		logger *zap.Logger
+
+		mu    sync.Mutex
+		self  Host
+		hosts map[string]*peer
+	}
+
+	peer struct {
+		host     Host
+		failures int
+		dead     bool
+		heard    time.Time
+	}
+)
+
+// New returns the roster of a node.
+func New(self Host, store object.Store, pool *peers.Pool, logger *zap.Logger) *Roster {
+	return &Roster{store: store, pool: pool, logger: logger, self: self, hosts: make(map[string]*peer)}
+}
+
+// Run registers the node and keeps the roster until the context ends.
+func (r *Roster) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { r.register(ctx); return nil })
+	group.Go(func() error { r.helloLoop(ctx); return nil })
+	return group.Wait()
+}
+
+// Self returns this node.
+func (r *Roster) Self() Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.self
+}
+
+// Leave tells all other nodes that this one leaves.
+func (r *Roster) Leave(ctx context.Context) {
+	r.mu.Lock()
+	r.self.Leaving = true
+	r.mu.Unlock()
+	r.hello(ctx)
+}
+
+// Alive reports whether that start of the node runs, leaving or not.
+func (r *Roster) Alive(name string, incarnation uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name == r.self.Name {
+		return incarnation == r.self.Incarnation
+	}
+	p := r.hosts[name]
+	return p != nil && !p.dead && p.host.Incarnation == incarnation
+}
+
+// Incarnation returns the start of a node, 0 if it isn't known.
+func (r *Roster) Incarnation(name string) uint64 {
+	if h, ok := r.Host(name); ok {
+		return h.Incarnation
+	}
+	return 0
+}
+
+// Host returns a node that is not dead.
+func (r *Roster) Host(name string) (Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name == r.self.Name {
+		return r.self, true
+	}
+	p := r.hosts[name]
+	if p == nil || p.dead {
+		return Host{}, false
+	}
+	return p.host, true
+}
+
+// Others returns the other nodes that are not dead, by name.
+func (r *Roster) Others() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var hosts []Host
+	for _, p := range r.hosts {
+		if !p.dead {
+			hosts = append(hosts, p.host)
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	return hosts
+}
+
+// Staying returns the names of the nodes that run and don't leave.
+func (r *Roster) Staying() []string {
+	var names []string
+	for _, h := range r.StayingHosts() {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
+// StayingHosts returns the nodes that run and don't leave, with this one.
+func (r *Roster) StayingHosts() []Host {
+	self := r.Self()
+	var hosts []Host
+	if !self.Leaving {
+		hosts = append(hosts, self)
+	}
+	for _, h := range r.Others() {
+		if !h.Leaving {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// register writes the node's own entry.
+func (r *Roster) register(ctx context.Context) {
+	self := r.Self()
+	spec, err := json.Marshal(self)
+	if err != nil {
+		event.HostListFailed.Log(r.logger, zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		_, err := r.store.Create(ctx, kindHosts, self.Name, spec)
+		var exists *object.ExistsError
+		if errors.As(err, &exists) {
+			_, err = r.store.Replace(ctx, kindHosts, self.Name, spec, 0)
+		}
+		if err == nil {
+			return
+		}
+		event.HostListFailed.Log(r.logger, zap.Error(err))
+		if waits.For(ctx, registerPause) != nil {
+			return
+		}
+	}
+}
+
+func (r *Roster) helloLoop(ctx context.Context) {
+	next := time.Time{}
+	for ctx.Err() == nil {
+		if now := time.Now(); !now.Before(next) {
+			if err := r.list(ctx); err != nil {
+				event.HostListFailed.Log(r.logger, zap.Error(err))
+				next = now.Add(minInterval)
+			} else {
+				next = now.Add(listInterval)
+			}
+		}
+		r.hello(ctx)
+		r.mu.Lock()
+		known := len(r.hosts)
+		r.mu.Unlock()
+		if waits.For(ctx, max(minInterval, time.Duration(known)*perNode)) != nil {
+			return
+		}
+	}
+}
+
+// list learns of nodes from their entries.
+func (r *Roster) list(ctx context.Context) error {
+	records, _, err := r.store.List(ctx, kindHosts, object.Stale)
+	if err != nil {
+		return fmt.Errorf("listing hosts: %w", err)
+	}
+	for _, record := range records {
+		var h Host
+		if err := json.Unmarshal(record.Spec, &h); err != nil || h.Name == "" {
+			event.HostListFailed.Log(r.logger, zap.String("entry", record.Name), zap.Error(err))
+			continue
+		}
+		r.learn(h)
+	}
+	return nil
+}
+
+// learn notes a node that was told of; it is heard of only by its own hello.
+func (r *Roster) learn(h Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h.Name == r.self.Name {
+		return
+	}
+	p := r.hosts[h.Name]
+	if p != nil && p.host.Incarnation >= h.Incarnation {
+		return
+	}
+	r.hosts[h.Name] = &peer{host: h, heard: time.Now()}
+}
+
+// Heard notes a hello or its answer from the node itself.
+func (r *Roster) heard(info *wirepb.HostInfo) {
+	if info.GetName() == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if info.GetName() == r.self.Name {
+		return
+	}
+	h := hostOf(info)
+	p := r.hosts[h.Name]
+	if p != nil && p.host.Incarnation > h.Incarnation {
+		return
+	}
+	if p == nil || p.host.Incarnation != h.Incarnation || p.dead {
+		event.HostJoined.Log(r.logger, zap.String("host", h.Name), zap.Uint64("incarnation", h.Incarnation))
+	}
+	if h.Leaving && (p == nil || !p.host.Leaving) {
+		event.HostLeaving.Log(r.logger, zap.String("host", h.Name))
+	}
+	r.hosts[h.Name] = &peer{host: h, heard: time.Now()}
+}
+
+// hello says hello to every node once.
+func (r *Roster) hello(ctx context.Context) {
+	r.mu.Lock()
+	var hosts []Host
+	for name, p := range r.hosts {
+		if p.dead && time.Since(p.heard) > forgetAfter {
+			delete(r.hosts, name)
+			continue
+		}
+		hosts = append(hosts, p.host)
+	}
+	call := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: infoOf(r.self), Digest: r.digest()}}}
+	r.mu.Unlock()
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(atOnce)
+	for _, h := range hosts {
+		group.Go(func() error {
+			r.helloTo(ctx, h, call)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		event.HostListFailed.Log(r.logger, zap.Error(err))
+	}
+}
+
+func (r *Roster) helloTo(ctx context.Context, h Host, call *wirepb.Frame) {
+	limited, cancel := context.WithTimeout(ctx, helloLimit)
+	defer cancel()
+	frame, err := r.pool.Do(limited, h.Peers, call)
+	if err != nil {
+		if ctx.Err() == nil {
+			r.failed(h, err)
+		}
+		return
+	}
+	reply := frame.GetHelloReply()
+	r.heard(reply.GetFrom())
+	for _, info := range reply.GetHosts() {
+		r.learn(hostOf(info))
+	}
+}
+
+func (r *Roster) failed(h Host, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.hosts[h.Name]
+	if p == nil || p.host.Incarnation != h.Incarnation || p.dead {
+		return
+	}
+	p.failures++
+	if p.failures >= deadAfter || errors.Is(err, syscall.ECONNREFUSED) {
+		p.dead = true
+		event.HostDead.Log(r.logger, zap.String("host", h.Name), zap.Int("failures", p.failures), zap.Error(err))
+	}
+}
+
+// Serve answers a hello.
+func (r *Roster) Serve(hello *wirepb.Hello) *wirepb.HelloReply {
+	r.heard(hello.GetFrom())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	reply := &wirepb.HelloReply{From: infoOf(r.self)}
+	if r.digest() == hello.GetDigest() {
+		return reply
+	}
+	for _, p := range r.hosts {
+		if !p.dead {
+			reply.Hosts = append(reply.Hosts, infoOf(p.host))
+		}
+	}
+	return reply
+}
+
+// digest tells two nodes whether they know the same. The caller holds the lock.
+func (r *Roster) digest() uint64 {
+	sum := hostDigest(r.self)
+	for _, p := range r.hosts {
+		if !p.dead {
+			sum ^= hostDigest(p.host)
+		}
+	}
+	return sum
+}
+
+func hostDigest(h Host) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d/%t", h.Name, h.Incarnation, h.Leaving))
+}
+
+func infoOf(h Host) *wirepb.HostInfo {
+	return &wirepb.HostInfo{
+		Name: h.Name, Incarnation: h.Incarnation, Domain: h.Domain,
+		CallerAddress: h.Callers, PeerAddress: h.Peers, Leaving: h.Leaving,
+	}
+}
+
+func hostOf(info *wirepb.HostInfo) Host {
+	return Host{
+		Name: info.GetName(), Incarnation: info.GetIncarnation(), Domain: info.GetDomain(),
+		Callers: info.GetCallerAddress(), Peers: info.GetPeerAddress(), Leaving: info.GetLeaving(),
+	}
+}
--- /dev/null
+++ b/routes/routes.go
@@ -0,0 +1,169 @@
+// Package routes holds the active configuration: which service a request goes
+// to and how it may be served.
+//
+// # Usage
+//
+//	table := routes.NewTable(version, list, services, limits)
+//	route, ok := table.Match(host, path)
+//	service := route.Service(requestID)
+package routes
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says what a route's requests may be used for.
+type Kind int
+
+// Kinds of routes.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming requests are answered by events.
+	Streaming
+	// Rollout requests are batches of requests for tokens.
+	Rollout
+)
+
+type (
+	// Share is a service and its part of a route's requests.
+	Share struct {
+		Service string
+		Weight  int
+	}
+
+	// Route says how the requests of a host and a path prefix are served.
+	Route struct {
+		Name          string
+		Host          string
+		Prefix        string
+		Kind          Kind
+		Shares        []Share
+		Timeout       time.Duration
+		TargetLatency time.Duration
+		// ResultDeadline is when a batch's results are due, after its acceptance.
+		ResultDeadline time.Duration
+		// MaxQueue is when an item of a batch may be given up.
+		MaxQueue      time.Duration
+		Priority      int
+		MaxAttempts   int
+		SingleVersion bool
+		Resumable     bool
+	}
+
+	// Service is a set of endpoints.
+	Service struct {
+		Name       string
+		HealthPath string
+		// MaxConns is the most connections that an endpoint takes.
+		MaxConns int
+		// Slots is how many requests an engine runs at once, 0 for plain services.
+		Slots int
+		// CacheTokens is the memory of an engine.
+		CacheTokens int
+		// Models are the models that an engine serves.
+		Models []string
+	}
+
+	// Limits bound what a caller may send.
+	Limits struct {
+		HeaderBytes   int
+		BodyBytes     int64
+		HeaderTimeout time.Duration
+		IdleTimeout   time.Duration
+	}
+
+	// Table is one version of the configuration. It never changes.
+	Table struct {
+		version  uint64
+		hosts    map[string][]Route
+		services map[string]Service
+		limits   Limits
+	}
+)
+
+// NewTable returns a table of the routes and services.
+func NewTable(version uint64, list []Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		version:  version,
+		hosts:    make(map[string][]Route),
+		services: make(map[string]Service),
+		limits:   limits,
+	}
+	for _, r := range list {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Version returns the configuration's version.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Match returns the route with the longest prefix of the path.
+func (t *Table) Match(host, path string) (Route, bool) {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service returns a service by its name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Engines returns the services whose endpoints are model engines, by name.
+func (t *Table) Engines() []Service {
+	var engines []Service
+	for _, s := range t.services {
+		if len(s.Models) > 0 {
+			engines = append(engines, s)
+		}
+	}
+	sort.Slice(engines, func(i, j int) bool { return engines[i].Name < engines[j].Name })
+	return engines
+}
+
+// Service returns the service of a request, drawn by the shares' weights.
+func (r Route) Service(requestID string) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		if len(r.Shares) == 0 {
+			return ""
+		}
+		return r.Shares[0].Service
+	}
+	drawn := int(xxhash.Sum64String(requestID) % uint64(total))
+	for _, s := range r.Shares {
+		if drawn -= s.Weight; drawn < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Attempts returns how many endpoints one request may reach.
+func (r Route) Attempts() int { return max(1, r.MaxAttempts) }
