--- a/batch/run.go
+++ b/batch/run.go
@@ -256,6 +256,9 @@
 	state, it := &j.items[i], &j.sub.Items[i]
 	if err == nil {
 		k.parts.Scope.Counter("items_done").Inc(1)
+		event.ItemDone.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
+			zap.String("endpoint", target.ID()), zap.Int("events", len(state.texts)), zap.Int("length", it.Length),
+			zap.Ints("versions", state.versions), zap.Duration("age", j.head.Age(time.Now())))
 		k.finish(j, Result{Item: it.ID, Text: strings.Join(state.texts, "\n"), Versions: state.versions})
 		state.texts = nil
 		return
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -1,14 +1,18 @@
 package orders
 
 import (
+	"math"
 	"sort"
 
 	"github.com/currantloft/currantloft/fleet"
 )
 
-// loadShare is the share of a service's endpoints that may load at once without
-// slowing each other down.
-const loadShare = 0.22
+// loadShare is the share of a service's endpoints that load at once without
+// slowing each other down: 2 of 9 and of 11, 10 of 48 on the users' sites.
+const loadShare = 0.2
+
+// tooOld is how many versions behind an endpoint can't serve the current step.
+const tooOld = 2
 
 type (
 	// Want is the version that a trainer has named for its model.
@@ -21,6 +25,8 @@
 	Load struct {
 		State fleet.State
 		Want  Want
+		// Behind is how many versions the endpoint lacks.
+		Behind int
 	}
 
 	// Progress tells which endpoints are loading, by id.
@@ -29,34 +35,60 @@
 
 // Plan says which endpoints load what next. Each model gets an equal share of
 // the endpoints: those that are least behind on it, so that an endpoint keeps
-// serving the model it serves. An endpoint that is at the newest version of
-// more models serves them all. No more endpoints load at once than the site
-// bears, and of one model's endpoints never all while it has more than one.
+// serving the model it serves. A step may be served by the version before the
+// newest, so endpoints that are two behind load first, and half of a model's
+// endpoints stay one behind: they serve while the others load. No more load at
+// once than the site bears.
 //
 // Load pattern: each trainer names a version every few seconds and asks for the
 // next step at once, which the version before may still serve.
 func Plan(states []fleet.State, wants []Want, loading Progress) []Load {
-	sort.Slice(wants, func(i, j int) bool { return wants[i].Model < wants[j].Model })
-	most := max(1, int(loadShare*float64(len(states)))) - len(loading)
+	most := AtOnce(len(states)) - len(loading)
 	homes := homesOf(states, wants)
-	var loads []Load
-	// Models take turns, so that none waits for all endpoints of another.
-	for turn := 0; most > 0; turn++ {
-		found := false
-		for _, want := range wants {
-			candidates := behind(states, homes[want.Model], want, loading)
-			if turn >= len(candidates) || most <= 0 {
-				continue
-			}
-			found = true
-			most--
-			loads = append(loads, Load{State: candidates[turn], Want: want})
+	var due []Load
+	for _, want := range wants {
+		due = append(due, dueOf(states, homes[want.Model], want, loading)...)
+	}
+	sort.SliceStable(due, func(i, j int) bool { return due[i].before(due[j]) })
+	return due[:max(0, min(most, len(due)))]
+}
+
+// AtOnce returns how many of so many endpoints may load at once.
+func AtOnce(endpoints int) int { return max(1, int(math.Round(loadShare*float64(endpoints)))) }
+
+// dueOf returns a model's endpoints that are to load.
+func dueOf(states []fleet.State, home map[string]bool, want Want, loading Progress) []Load {
+	var due []Load
+	newest, size := 0, 0
+	for _, s := range states {
+		if !home[s.Entry.ID] {
+			continue
+		}
+		size++
+		switch behind := lag(s.Entry, want); {
+		case behind == 0, loading[s.Entry.ID]:
+			newest++
+		default:
+			due = append(due, Load{State: s, Want: want, Behind: behind})
 		}
-		if !found {
-			break
+	}
+	sort.SliceStable(due, func(i, j int) bool { return due[i].before(due[j]) })
+	kept := due[:0]
+	for _, load := range due {
+		if load.Behind >= tooOld || newest < (size+1)/2 {
+			kept = append(kept, load)
+			newest++
 		}
 	}
-	return loads
+	return kept
+}
+
+// before orders loads: those furthest behind first, then those with least work.
+func (l Load) before(other Load) bool {
+	if (l.Behind >= tooOld) != (other.Behind >= tooOld) {
+		return l.Behind >= tooOld
+	}
+	return l.State.Busy() < other.State.Busy()
 }
 
 // homesOf assigns each endpoint to one model: the one on which it is least
@@ -111,15 +143,3 @@
 
 // lag is how many versions an endpoint is behind.
 func lag(entry fleet.Entry, want Want) int { return max(0, want.Version-entry.Versions[want.Model]) }
-
-// behind returns a model's endpoints that lack the version, the idle ones first.
-func behind(states []fleet.State, home map[string]bool, want Want, loading Progress) []fleet.State {
-	var list []fleet.State
-	for _, s := range states {
-		if home[s.Entry.ID] && !loading[s.Entry.ID] && s.Entry.Versions[want.Model] < want.Version {
-			list = append(list, s)
-		}
-	}
-	sort.SliceStable(list, func(i, j int) bool { return list[i].Busy() < list[j].Busy() })
-	return list
-}
