--- a/cmds/edge.go
+++ b/cmds/edge.go
@@ -19,7 +19,9 @@
 		Flags: hostFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return onHost(c, func(settings *setup.Host, logger *zap.Logger) error {
-				return edge.New(settings, logger).Run(ctx)
+				e := edge.New(settings, logger)
+				go followSettings(ctx, c.String("settings"), logger, e.Reload)
+				return e.Run(ctx)
 			})
 		},
 	}
@@ -32,7 +34,9 @@
 		Flags: hostFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return onHost(c, func(settings *setup.Host, logger *zap.Logger) error {
-				return edge.NewStorage(settings, logger).Run(ctx)
+				s := edge.NewStorage(settings, logger)
+				go followSettings(ctx, c.String("settings"), logger, s.Reload)
+				return s.Run(ctx)
 			})
 		},
 	}
--- /dev/null
+++ b/cmds/reload.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/platform"
+	"github.com/currantloft/currantloft/setup"
+)
+
+// settingsInterval is how often the settings file is looked at, since it may
+// change without a signal.
+const settingsInterval = 5 * time.Second
+
+// followSettings reads the settings file again on SIGHUP and when it has
+// changed. Settings that can't be read leave the old ones in force.
+func followSettings(ctx context.Context, path string, logger *zap.Logger, apply func(*setup.Host)) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	seen := modified(path, logger)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-ticker.C:
+			if modified(path, logger).Equal(seen) {
+				continue
+			}
+		}
+		seen = modified(path, logger)
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			event.SettingsRefused.Log(logger, zap.Error(err))
+			continue
+		}
+		apply(settings)
+	}
+}
+
+func modified(path string, logger *zap.Logger) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		event.SettingsRefused.Log(logger, zap.Error(err))
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -58,18 +58,20 @@
 type (
 	// Edge is one node on the prepared platform.
 	Edge struct {
-		settings *setup.Host
-		logger   *zap.Logger
-		meter    *meter.Meter
-		store    *platform.Store
-		pool     *peers.Pool
-		roster   *roster.Roster
-		fleet    *fleet.Fleet
-		sender   *platform.Sender
-		relay    *relay.Relay
-		keeper   *batch.Keeper
-		giver    *orders.Giver
-		table    atomic.Pointer[routes.Table]
+		settings  atomic.Pointer[setup.Host]
+		logger    *zap.Logger
+		meter     *meter.Meter
+		store     *platform.Store
+		pool      *peers.Pool
+		roster    *roster.Roster
+		fleet     *fleet.Fleet
+		sender    *platform.Sender
+		relay     *relay.Relay
+		keeper    *batch.Keeper
+		giver     *orders.Giver
+		table     atomic.Pointer[routes.Table]
+		others    *others
+		followers []*follower
 		// lapse is the Unix nanosecond until which removed entries may come back.
 		lapse   atomic.Int64
 		leaving atomic.Bool
@@ -80,9 +82,10 @@
 func New(settings *setup.Host, logger *zap.Logger) *Edge {
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory())))
 	e := &Edge{
-		settings: settings, logger: logger, meter: meter.New(), pool: peers.NewPool(),
+		logger: logger, meter: meter.New(), pool: peers.NewPool(),
 		fleet: fleet.New(time.Now),
 	}
+	e.settings.Store(settings)
 	e.store = platform.NewStore(settings.Store(), logger)
 	e.sender = platform.NewSender(e.fleet)
 	self := roster.Host{
@@ -90,12 +93,12 @@
 		Callers: settings.Callers(), Peers: settings.Peers(),
 	}
 	e.roster = roster.New(self, e.store, e.pool, logger)
-	o := &others{Roster: e.roster, pool: e.pool, logger: logger}
-	e.store.SetDetour(o.detour)
+	e.others = &others{Roster: e.roster, pool: e.pool, logger: logger}
+	e.store.SetDetour(e.others.detour)
 	e.relay = relay.New(e.fleet, e.sender, settings.Domain(), e.meter.Scope(), logger)
 	e.keeper = batch.New(batch.Parts{
 		Name: self.Name, Incarnation: self.Incarnation, Store: e.store, ValueBytes: settings.StoreValueBytes(),
-		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: o, Routes: e.table.Load,
+		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: e.others, Routes: e.table.Load,
 		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.giver = orders.New(orders.Parts{
@@ -104,13 +107,15 @@
 		Orders: e.sender, Routes: e.table.Load, Staying: e.roster.Staying,
 		Kind: platform.KindVersions, Decode: platform.DecodeNamedVersion, Logger: logger,
 	})
+	e.followers = []*follower{e.routesFollower(), e.endpointsFollower()}
 	return e
 }
 
 // Run serves until the context ends, then leaves gracefully.
 func (e *Edge) Run(ctx context.Context) error {
-	event.NodeStarting.Log(e.logger, zap.String("node", e.settings.Name()))
-	peerServer, err := peers.Listen(e.settings.Peers(), e.serve, e.logger)
+	settings := e.settings.Load()
+	event.NodeStarting.Log(e.logger, zap.String("node", settings.Name()))
+	peerServer, err := peers.Listen(settings.Peers(), e.serve, e.logger)
 	if err != nil {
 		return err
 	}
@@ -122,11 +127,15 @@
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(parts)
-	for _, run := range []func(context.Context) error{
-		e.roster.Run, e.followRoutes, e.followEndpoints, e.giver.Run,
-	} {
+	for _, run := range []func(context.Context) error{e.roster.Run, e.giver.Run} {
 		group.Go(func() error { return run(groupCtx) })
 	}
+	for _, f := range e.followers {
+		group.Go(func() error {
+			e.follow(groupCtx, f)
+			return nil
+		})
+	}
 	select {
 	case <-ctx.Done():
 	case <-groupCtx.Done():
@@ -140,20 +149,21 @@
 	e.sender.Close()
 	e.store.Close()
 	err = errors.Join(err, e.meter.Close())
-	event.NodeStopped.Log(e.logger, zap.String("node", e.settings.Name()))
+	event.NodeStopped.Log(e.logger, zap.String("node", settings.Name()))
 	return err
 }
 
 // listen opens the listeners that the settings name.
 func (e *Edge) listen(handler *platform.Handler) ([]*http.Server, error) {
+	settings := e.settings.Load()
 	var servers []*http.Server
 	for _, l := range []struct {
 		address string
 		handler http.Handler
 	}{
-		{e.settings.Callers(), handler},
-		{e.settings.Ready(), handler.Ready()},
-		{e.settings.Resolver(), handler.Resolver()},
+		{settings.Callers(), handler},
+		{settings.Ready(), handler.Ready()},
+		{settings.Resolver(), handler.Resolver()},
 	} {
 		if l.address == "" {
 			continue
@@ -177,9 +187,9 @@
 // and connections are closed once no caller can hold this node's address.
 func (e *Edge) leave(servers []*http.Server) {
 	begun := time.Now()
-	event.NodeLeaving.Log(e.logger, zap.String("node", e.settings.Name()))
+	event.NodeLeaving.Log(e.logger)
 	e.leaving.Store(true)
-	deadline := begun.Add(e.settings.Grace() - stopReserve)
+	deadline := begun.Add(e.settings.Load().Grace() - stopReserve)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	e.roster.Leave(ctx)
@@ -199,6 +209,16 @@
 	}
 }
 
+// Reload brings changed settings into force: times and limits. Names and
+// addresses hold until the next start.
+func (e *Edge) Reload(settings *setup.Host) {
+	if *settings == *e.settings.Load() {
+		return
+	}
+	e.settings.Store(settings)
+	event.Settings.Log(e.logger, zap.Duration("grace", settings.Grace()), zap.Duration("lease", settings.Lease()))
+}
+
 // Ready reports whether the node wants requests.
 func (e *Edge) Ready() bool { return !e.leaving.Load() && e.table.Load() != nil }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -33,13 +33,22 @@
 
 // Tell sends a notice to all other nodes.
 func (o *others) Tell(notice batch.Notice) {
-	call := &wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotice(notice)}}
+	o.toAll(&wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotice(notice)}})
+}
+
+// hint tells all other nodes that objects of a kind have changed.
+func (o *others) hint(kind string, revision uint64) {
+	o.toAll(&wirepb.Frame{Body: &wirepb.Frame_StoreHint{StoreHint: &wirepb.StoreHint{Kind: kind, Revision: revision}}})
+}
+
+// toAll sends a frame to all other nodes and doesn't wait.
+func (o *others) toAll(call *wirepb.Frame) {
 	for _, h := range o.Others() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
 			defer cancel()
 			if _, err := o.pool.Do(ctx, h.Peers, call); err != nil {
-				event.BatchPeerFailed.Log(o.logger, zap.String("batch", notice.Head.ID), zap.String("host", h.Name), zap.Error(err))
+				event.HostNotTold.Log(o.logger, zap.String("host", h.Name), zap.Error(err))
 			}
 		}()
 	}
@@ -130,6 +139,9 @@
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Learn(decodeNotice(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
+	case *wirepb.Frame_StoreHint:
+		e.hinted(body.StoreHint.GetKind(), body.StoreHint.GetRevision())
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
 	case *wirepb.Frame_BatchRead:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: e.serveRead(ctx, body.BatchRead)}}
 	case *wirepb.Frame_BatchBody:
--- a/edge/storage.go
+++ b/edge/storage.go
@@ -19,6 +19,10 @@
 // the store does not answer.
 const retirePause = 500 * time.Millisecond
 
+// retireWait is how long a watch of such requests waits: they may be carried out
+// within some seconds.
+const retireWait = 5 * time.Second
+
 // Storage is the process on a host with a disk. Nothing lasts there, so that it
 // can be emptied at any time.
 type Storage struct {
@@ -52,6 +56,11 @@
 	return nil
 }
 
+// Reload notes changed settings; none of them concerns a running process.
+func (s *Storage) Reload(settings *setup.Host) {
+	event.Settings.Log(s.logger, zap.String("node", settings.Name()))
+}
+
 // watch lists the requests once and then waits for more.
 func (s *Storage) watch(ctx context.Context, revision uint64) (uint64, error) {
 	var entries []object.Entry
@@ -62,7 +71,7 @@
 		}
 		entries, revision = listed, at
 	} else {
-		changes, next, err := s.store.Watch(ctx, platform.KindRetirements, revision)
+		changes, next, err := s.store.Watch(ctx, platform.KindRetirements, revision, retireWait)
 		if errors.Is(err, object.ErrHistoryGone) {
 			return 0, nil
 		}
--- a/object/store.go
+++ b/object/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 )
 
 var (
@@ -58,7 +59,7 @@
 		List(ctx context.Context, kind string, read Read) ([]Entry, uint64, error)
 		// Watch waits for changes after a revision and returns the revision to go
 		// on from. No change within the wait is no error.
-		Watch(ctx context.Context, kind string, after uint64) ([]Change, uint64, error)
+		Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Change, uint64, error)
 		// Create makes an object, or returns an *ExistsError.
 		Create(ctx context.Context, kind, name string, spec []byte) (Entry, error)
 		// Replace writes an object that still has the given revision, or returns
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -26,6 +26,9 @@
 	unsureLimit = 1500 * time.Millisecond
 	// retryPause is the pause after an endpoint took no order.
 	retryPause = 500 * time.Millisecond
+	// watchWait is how long the watch of named versions waits: one that the store
+	// has dropped tells nothing until it is sent anew.
+	watchWait = 1500 * time.Millisecond
 	// firstVersion is the version that endpoints start with.
 	firstVersion = 1
 )
@@ -127,7 +130,7 @@
 			}
 			revision = at
 		}
-		changes, next, err := g.parts.Store.Watch(ctx, g.parts.Kind, revision)
+		changes, next, err := g.parts.Store.Watch(ctx, g.parts.Kind, revision, watchWait)
 		if err != nil {
 			revision = 0
 			if !errors.Is(err, object.ErrHistoryGone) {
