--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/meter"
+	"github.com/currantloft/currantloft/mirror"
 	"github.com/currantloft/currantloft/orders"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/platform"
@@ -58,22 +59,23 @@
 type (
 	// Edge is one node on the prepared platform.
 	Edge struct {
-		settings  atomic.Pointer[setup.Host]
-		logger    *zap.Logger
-		meter     *meter.Meter
-		store     *platform.Store
-		pool      *peers.Pool
-		roster    *roster.Roster
-		fleet     *fleet.Fleet
-		sender    *platform.Sender
-		relay     *relay.Relay
-		keeper    *batch.Keeper
-		giver     *orders.Giver
-		table     atomic.Pointer[routes.Table]
-		others    *others
-		followers []*follower
-		// lapse is the Unix nanosecond until which removed entries may come back.
-		lapse   atomic.Int64
+		settings atomic.Pointer[setup.Host]
+		logger   *zap.Logger
+		meter    *meter.Meter
+		store    *platform.Store
+		pool     *peers.Pool
+		roster   *roster.Roster
+		fleet    *fleet.Fleet
+		sender   *platform.Sender
+		relay    *relay.Relay
+		keeper   *batch.Keeper
+		giver    *orders.Giver
+		table    atomic.Pointer[routes.Table]
+		others   *others
+		mirror   *mirror.Mirror
+		// lapse is until when removed entries may come back; the mirror's lock
+		// guards it.
+		lapse   time.Time
 		leaving atomic.Bool
 	}
 )
@@ -104,10 +106,10 @@
 	e.giver = orders.New(orders.Parts{
 		Name: self.Name, Store: e.store, Fleet: e.fleet,
 		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), orders.Boottime),
-		Orders: e.sender, Routes: e.table.Load, Staying: e.roster.Staying,
-		Kind: platform.KindVersions, Decode: platform.DecodeNamedVersion, Logger: logger,
+		Orders: e.sender, Routes: e.table.Load, First: func() bool { rank, _ := e.others.Rank(); return rank == 0 },
+		Decode: platform.DecodeNamedVersion, Logger: logger,
 	})
-	e.followers = []*follower{e.routesFollower(), e.endpointsFollower()}
+	e.mirror = mirror.New(e.store, e.others, logger, e.kinds()...)
 	return e
 }
 
@@ -127,15 +129,9 @@
 	parts, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(parts)
-	for _, run := range []func(context.Context) error{e.roster.Run, e.giver.Run} {
+	for _, run := range []func(context.Context) error{e.roster.Run, e.giver.Run, e.mirror.Run} {
 		group.Go(func() error { return run(groupCtx) })
 	}
-	for _, f := range e.followers {
-		group.Go(func() error {
-			e.follow(groupCtx, f)
-			return nil
-		})
-	}
 	select {
 	case <-ctx.Done():
 	case <-groupCtx.Done():
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -9,7 +9,10 @@
 
 	"github.com/currantloft/currantloft/batch"
 	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/mirror"
+	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/peers"
+	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/roster"
 	"github.com/currantloft/currantloft/wirepb"
 )
@@ -22,6 +25,9 @@
 	detourLimit = 12 * time.Second
 )
 
+// leaderKey is what the nodes are ranked by for duties of one node.
+const leaderKey = "leader"
+
 // others is what the batches' keeper does with other nodes.
 type others struct {
 	*roster.Roster
@@ -36,9 +42,21 @@
 	o.toAll(&wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotice(notice)}})
 }
 
-// hint tells all other nodes that objects of a kind have changed.
-func (o *others) hint(kind string, revision uint64) {
-	o.toAll(&wirepb.Frame{Body: &wirepb.Frame_StoreHint{StoreHint: &wirepb.StoreHint{Kind: kind, Revision: revision}}})
+// Pass sends what was read from the store to all other nodes.
+func (o *others) Pass(news []mirror.News) {
+	o.toAll(&wirepb.Frame{Body: &wirepb.Frame_StoreNews{StoreNews: encodeNews(news)}})
+}
+
+// Rank returns the node's place among those that stay.
+func (o *others) Rank() (rank, nodes int) {
+	names := o.Staying()
+	self := o.Self().Name
+	for i, name := range rendez.Top(leaderKey, names, len(names)) {
+		if name == self {
+			return i, len(names)
+		}
+	}
+	return len(names), max(1, len(names))
 }
 
 // toAll sends a frame to all other nodes and doesn't wait.
@@ -139,8 +157,8 @@
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Learn(decodeNotice(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
-	case *wirepb.Frame_StoreHint:
-		e.hinted(body.StoreHint.GetKind(), body.StoreHint.GetRevision())
+	case *wirepb.Frame_StoreNews:
+		e.mirror.Take(decodeNews(body.StoreNews))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
 	case *wirepb.Frame_BatchRead:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: e.serveRead(ctx, body.BatchRead)}}
@@ -201,6 +219,35 @@
 	return &wirepb.StoreReply{Status: uint32(status), Body: reply}
 }
 
+func encodeNews(news []mirror.News) *wirepb.StoreNews {
+	out := &wirepb.StoreNews{}
+	for _, n := range news {
+		kind := &wirepb.KindNews{Kind: n.Kind, At: n.At, Away: n.Away}
+		for _, c := range n.Changes {
+			kind.Changes = append(kind.Changes, &wirepb.StoreChange{
+				Name: c.Entry.Name, Revision: c.Entry.Revision, Spec: c.Entry.Spec, Removed: c.Removed,
+			})
+		}
+		out.Kinds = append(out.Kinds, kind)
+	}
+	return out
+}
+
+func decodeNews(in *wirepb.StoreNews) []mirror.News {
+	var news []mirror.News
+	for _, kind := range in.GetKinds() {
+		n := mirror.News{Kind: kind.GetKind(), At: kind.GetAt(), Away: kind.GetAway()}
+		for _, c := range kind.GetChanges() {
+			n.Changes = append(n.Changes, object.Change{
+				Entry:   object.Entry{Name: c.GetName(), Revision: c.GetRevision(), Spec: c.GetSpec()},
+				Removed: c.GetRemoved(),
+			})
+		}
+		news = append(news, n)
+	}
+	return news
+}
+
 func encodeNotice(n batch.Notice) *wirepb.BatchNotice {
 	return &wirepb.BatchNotice{
 		Id: n.Head.ID, Host: n.Head.Host, Path: n.Head.Path, Model: n.Head.Model, Step: int64(n.Head.Step),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -176,30 +176,6 @@
 	f.announce()
 }
 
-// Keep removes all endpoints that are not in the list, after the grace.
-func (f *Fleet) Keep(entries []Entry, grace time.Duration) {
-	kept := make(map[string]bool, len(entries))
-	for _, entry := range entries {
-		kept[entry.ID] = true
-		f.Put(entry)
-	}
-	for _, id := range f.ids() {
-		if !kept[id] {
-			f.Remove(id, grace)
-		}
-	}
-}
-
-func (f *Fleet) ids() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ids := make([]string, 0, len(f.endpoints))
-	for id := range f.endpoints {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
 // Serving returns the states of a service's endpoints that may get work, by id.
 func (f *Fleet) Serving(service string) []State {
 	f.mu.Lock()
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -11,7 +11,6 @@
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/object"
-	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/routes"
 	"github.com/currantloft/currantloft/waits"
 )
@@ -26,9 +25,6 @@
 	unsureLimit = 1500 * time.Millisecond
 	// retryPause is the pause after an endpoint took no order.
 	retryPause = 500 * time.Millisecond
-	// watchWait is how long the watch of named versions waits: one that the store
-	// has dropped tells nothing until it is sent anew.
-	watchWait = 1500 * time.Millisecond
 	// firstVersion is the version that endpoints start with.
 	firstVersion = 1
 )
@@ -43,11 +39,9 @@
 		Orders Endpoints
 		// Routes returns the configuration in force, nil before the first one.
 		Routes func() *routes.Table
-		// Staying returns the nodes that may give orders.
-		Staying func() []string
-		// Kind is the kind of the objects in which trainers name versions, Decode
-		// reads one.
-		Kind   string
+		// First reports whether this node is the one to give orders.
+		First func() bool
+		// Decode reads the object in which a trainer names a version.
 		Decode func(spec []byte) (model string, version int, err error)
 		Logger *zap.Logger
 	}
@@ -77,7 +71,7 @@
 func (g *Giver) Run(ctx context.Context) error {
 	defer g.tasks.Wait()
 	for ctx.Err() == nil {
-		if !g.chosen() {
+		if !g.parts.First() {
 			_ = waits.For(ctx, idlePause)
 			continue
 		}
@@ -86,22 +80,10 @@
 	return nil
 }
 
-// chosen reports whether this node is the one to give orders.
-func (g *Giver) chosen() bool {
-	first, ok := rendez.First(leaseName, g.parts.Staying())
-	return ok && first == g.parts.Name
-}
-
-// serve watches the named versions and gives orders while this node is chosen.
+// serve gives orders while this node is the one to do so.
 func (g *Giver) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	event.OrdersBegun.Log(g.parts.Logger)
-	var watching sync.WaitGroup
-	watching.Go(func() { g.watch(ctx) })
-	defer watching.Wait()
-	defer cancel()
-	for ctx.Err() == nil && g.chosen() {
+	for ctx.Err() == nil && g.parts.First() {
 		g.step(ctx)
 		timer := time.NewTimer(idlePause)
 		select {
@@ -115,40 +97,11 @@
 	event.OrdersLeft.Log(g.parts.Logger)
 }
 
-// watch keeps the versions that trainers name.
-func (g *Giver) watch(ctx context.Context) {
-	revision := uint64(0)
-	for ctx.Err() == nil {
-		if revision == 0 {
-			records, at, err := g.parts.Store.List(ctx, g.parts.Kind, object.Fresh)
-			if err != nil {
-				_ = waits.For(ctx, retryPause)
-				continue
-			}
-			for _, record := range records {
-				g.name(record)
-			}
-			revision = at
-		}
-		changes, next, err := g.parts.Store.Watch(ctx, g.parts.Kind, revision, watchWait)
-		if err != nil {
-			revision = 0
-			if !errors.Is(err, object.ErrHistoryGone) {
-				_ = waits.For(ctx, retryPause)
-			}
-			continue
-		}
-		for _, change := range changes {
-			g.name(change.Entry)
-		}
-		revision = next
-	}
-}
-
-func (g *Giver) name(record object.Entry) {
-	model, version, err := g.parts.Decode(record.Spec)
+// Name notes a version that a trainer has named.
+func (g *Giver) Name(entry object.Entry) {
+	model, version, err := g.parts.Decode(entry.Spec)
 	if err != nil {
-		event.VersionUnreadable.Log(g.parts.Logger, zap.String("entry", record.Name), zap.Error(err))
+		event.VersionUnreadable.Log(g.parts.Logger, zap.String("entry", entry.Name), zap.Error(err))
 		return
 	}
 	g.mu.Lock()
@@ -159,7 +112,7 @@
 	g.mu.Unlock()
 	if newer {
 		event.VersionNamed.Log(g.parts.Logger, zap.String("model", model), zap.Int("version", version),
-			zap.Uint64("revision", record.Revision))
+			zap.Uint64("revision", entry.Revision))
 		g.nudge()
 	}
 }
