--- a/batch/calls.go
+++ b/batch/calls.go
@@ -89,32 +89,25 @@
 	if err != nil {
 		return head, NotKept{Cause: err}
 	}
-	maybe := false
-	for {
-		_, err := k.parts.Store.Create(ctx, kindHeads, head.ID, spec)
-		var exists *object.ExistsError
-		switch {
-		case err == nil:
-			return head, Kept{}
-		case errors.As(err, &exists):
-			if found, err := decodeHead(exists.Found); err == nil {
-				head = found
-			} else {
-				event.BatchUnreadable.Log(k.parts.Logger, zap.String("batch", head.ID), zap.Error(err))
-			}
-			return head, Kept{}
-		case !errors.Is(err, object.ErrRefused):
-			maybe = true
-		}
-		if waits.For(ctx, storePause) == nil {
-			continue
+	_, err = object.CreateSure(ctx, k.parts.Store, kindHeads, head.ID, spec)
+	var exists *object.ExistsError
+	switch {
+	case err == nil:
+		return head, Kept{}
+	case errors.As(err, &exists):
+		if found, err := decodeHead(exists.Found); err == nil {
+			head = found
+		} else {
+			event.BatchUnreadable.Log(k.parts.Logger, zap.String("batch", head.ID), zap.Error(err))
 		}
-		event.BatchRefused.Log(k.parts.Logger, zap.String("batch", head.ID), zap.Bool("unsure", maybe), zap.Error(err))
-		if maybe {
-			return head, Unsure{Cause: err}
-		}
-		return head, NotKept{RetryAfter: acceptRetry, Cause: err}
+		return head, Kept{}
+	}
+	unsure := !errors.Is(err, object.ErrRefused) || errors.Is(err, object.ErrUnsure)
+	event.BatchRefused.Log(k.parts.Logger, zap.String("batch", head.ID), zap.Bool("unsure", unsure), zap.Error(err))
+	if unsure {
+		return head, Unsure{Cause: err}
 	}
+	return head, NotKept{RetryAfter: acceptRetry, Cause: err}
 }
 
 // Read returns results from a position on, waiting for one if there is none.
--- a/batch/job.go
+++ b/batch/job.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/routes"
 	"github.com/currantloft/currantloft/waits"
@@ -30,13 +31,22 @@
 		route    routes.Route
 		book     *Book
 		items    []itemState
-		running  map[int]context.CancelFunc
+		running  map[int]*itemRun
 		changed  chan struct{}
 		pending  chan struct{}
 		first    time.Time
 		released bool
 	}
 
+	// itemRun is one run of an item.
+	itemRun struct {
+		cancel context.CancelFunc
+		target fleet.Target
+		since  time.Time
+		// moved says that it was stopped to go on elsewhere.
+		moved bool
+	}
+
 	// itemState is what is known of an item that has no result.
 	itemState struct {
 		texts    []string
@@ -53,7 +63,7 @@
 	j := &job{
 		head: head, sub: s, route: k.routeOf(head), book: NewBook(s.Items),
 		items:   make([]itemState, len(s.Items)),
-		running: make(map[int]context.CancelFunc),
+		running: make(map[int]*itemRun),
 		changed: make(chan struct{}), pending: make(chan struct{}, 1),
 	}
 	for i := range j.items {
@@ -90,8 +100,8 @@
 }
 
 func (k *Keeper) stopRuns(j *job) {
-	for _, cancel := range j.running {
-		cancel()
+	for _, r := range j.running {
+		r.cancel()
 	}
 }
 
@@ -145,7 +155,7 @@
 		event.BatchUnreadable.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Error(err))
 		return
 	}
-	_, err = k.parts.Store.Create(k.ctx, kindChunks, chunkName(j.head.ID, n), spec)
+	_, err = object.CreateSure(k.ctx, k.parts.Store, kindChunks, chunkName(j.head.ID, n), spec)
 	var exists *object.ExistsError
 	if errors.As(err, &exists) {
 		var c chunk
@@ -157,7 +167,7 @@
 	}
 	if err != nil {
 		event.BatchChunkRetried.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Error(err))
-		_ = waits.For(k.ctx, storePause)
+		_ = waits.For(k.ctx, flushSoon)
 		return
 	}
 	k.parts.Scope.Timer("chunk_time").Record(time.Since(begun))
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -113,6 +113,7 @@
 		homes   Homes
 		cache   *cache
 		leaving bool
+		movedAt time.Time
 	}
 
 	// known is a batch that this node has heard of.
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -8,12 +8,31 @@
 )
 
 const (
-	// slowPace is how many times the median pace an endpoint's pace may be before
-	// new work avoids it.
-	slowPace = 1.6
-	// perSlots is the share of an engine's slots that one node fills at most;
-	// a full engine refuses.
-	perSlots = 1.0
+	// usualPace is the time between two events of a stream at an endpoint that has
+	// not been measured; on the users' engines it is 37 ms.
+	usualPace = 40 * time.Millisecond
+	// usualStride is how many tokens one event holds if it isn't told.
+	usualStride = 50
+	// perRunning is by what share one more running request stretches all others.
+	perRunning = 0.0033
+	// homeWorth is what reading a prompt once more costs: a thousand tokens at 300
+	// a millisecond, and the same again for those that wait behind it.
+	homeWorth = 7 * time.Millisecond
+	// avoidCost ranks the endpoint where an item just failed behind the others.
+	avoidCost = 2 * time.Second
+	// longEvents is from how many events on an item is worth the newest weights:
+	// it may not end before its batch does, and what was generated can go on in
+	// the next batch only if its weights are new enough.
+	longEvents = 60
+	// newestWorth is what the newest weights are worth to such an item.
+	newestWorth = 400 * time.Millisecond
+	// moveCost is what taking a running item elsewhere costs: a new request, and
+	// reading what was generated.
+	moveCost = 60 * time.Millisecond
+	// movePause is how long a moved item stays where it is.
+	movePause = time.Second
+	// mostMoves bounds the items that one pass moves.
+	mostMoves = 6
 )
 
 type (
@@ -27,8 +46,8 @@
 		MinVersion   int
 		// Only is the one version that it may go on with, 0 for any.
 		Only int
-		// Length is the estimate of what is left to generate, in tokens.
-		Length int
+		// Events is the estimate of how many events are left.
+		Events int
 		// Due is when its batch's results are due.
 		Due time.Time
 		// Avoid is the endpoint where it failed last.
@@ -44,27 +63,37 @@
 	// Homes remembers where groups run, so that a shared prompt is read once.
 	Homes map[string]string
 
+	// Running is an item that runs, for decisions.
+	Running struct {
+		Waiting
+		// Endpoint is where it runs.
+		Endpoint string
+		// Done is how many events it has.
+		Done int
+		// Since is how long it has run there.
+		Since time.Duration
+	}
+
 	seat struct {
 		state fleet.State
 		free  int
-		slow  bool
+		pace  time.Duration
 	}
 )
 
 // Plan places waiting items on endpoints. Batches that are due first go first,
 // in a batch the group with the longest item, in a group the longest item: the
-// longest items decide when a group is whole. A group stays on one endpoint
-// while that has room. Endpoints that were measured slow get work only when the
-// others are full.
+// longest items decide when a group is whole. Each item goes where it is
+// expected to end first, so that long ones take the fast endpoints; a group
+// stays on one endpoint where that costs little.
 //
 // Load pattern: a step's items come all at once, a few are several times as
 // long as the others, engines hardly slow down as they fill, and one engine in
 // five runs several times slower for some seconds.
 func Plan(waiting []Waiting, states []fleet.State, homes Homes) []Placement {
 	seats := seatsOf(states)
-	order := orderOf(waiting)
 	var placed []Placement
-	for _, i := range order {
+	for _, i := range orderOf(waiting) {
 		w := waiting[i]
 		best := choose(w, seats, homes[w.Batch+"/"+w.Group])
 		if best < 0 {
@@ -79,15 +108,49 @@
 	return placed
 }
 
+// Moves returns the running items that would end sooner elsewhere, by index.
+//
+// Load pattern: an endpoint turns slow while long items run on it, or an item
+// that looked short, and so was put on a slow endpoint, turns out to be long.
+func Moves(running []Running, states []fleet.State) []int {
+	seats := seatsOf(states)
+	at := make(map[string]*seat, len(seats))
+	for i := range seats {
+		at[seats[i].state.Entry.ID] = &seats[i]
+	}
+	var moves []int
+	for _, r := range running {
+		here := at[r.Endpoint]
+		if here == nil || here.state.Pace == 0 || r.Since < movePause || len(moves) >= mostMoves {
+			continue
+		}
+		r.Avoid = r.Endpoint
+		best := choose(r.Waiting, seats, "")
+		if best < 0 || seats[best].state.Entry.ID == r.Endpoint {
+			continue
+		}
+		gain := time.Duration(r.left()) * (here.pace - seats[best].pace)
+		if gain > moveCost+moveCost/2*time.Duration(r.Done)/usualStride {
+			seats[best].free--
+			moves = append(moves, r.Index)
+		}
+	}
+	return moves
+}
+
+// left estimates the events that are left; an item that has outrun its estimate
+// is expected to go on for half of what it has.
+func (r Running) left() int { return max(r.Events, r.Done/2) }
+
 func seatsOf(states []fleet.State) []seat {
-	median := medianPace(states)
+	usual := medianPace(states)
 	seats := make([]seat, 0, len(states))
 	for _, s := range states {
-		free := int(float64(s.Entry.Slots)*perSlots) - s.Busy()
-		seats = append(seats, seat{
-			state: s, free: free,
-			slow: s.Pace > 0 && median > 0 && float64(s.Pace) > slowPace*float64(median),
-		})
+		pace := s.Pace
+		if pace == 0 {
+			pace = usual
+		}
+		seats = append(seats, seat{state: s, free: s.Entry.Slots - s.Busy(), pace: pace})
 	}
 	return seats
 }
@@ -101,7 +164,7 @@
 		}
 	}
 	if len(paces) == 0 {
-		return 0
+		return usualPace
 	}
 	sort.Slice(paces, func(i, j int) bool { return paces[i] < paces[j] })
 	return paces[(len(paces)-1)/2]
@@ -111,7 +174,7 @@
 	longest := make(map[string]int)
 	for _, w := range waiting {
 		key := w.Batch + "/" + w.Group
-		longest[key] = max(longest[key], w.Length)
+		longest[key] = max(longest[key], w.Events)
 	}
 	order := make([]int, len(waiting))
 	for i := range order {
@@ -129,25 +192,30 @@
 		if a.Group != b.Group {
 			return a.Group < b.Group
 		}
-		return a.Length > b.Length
+		return a.Events > b.Events
 	})
 	return order
 }
 
-// choose returns the best seat for an item, -1 for none.
+// choose returns the seat where an item is expected to end first, -1 for none.
 func choose(w Waiting, seats []seat, home string) int {
-	best, bestCost := -1, 0.0
+	newest := 0
+	for i := range seats {
+		newest = max(newest, seats[i].state.Entry.Versions[w.Model])
+	}
+	best, bestCost := -1, time.Duration(0)
 	for i := range seats {
 		s := &seats[i]
 		if s.free <= 0 || s.state.Paused || s.state.Loading || !fits(w, s.state.Entry) {
 			continue
 		}
-		cost := float64(s.state.Busy()) / float64(max(1, s.state.Entry.Slots))
-		if s.state.Entry.ID == home {
-			cost -= homeWorth
+		crowd := 1 + perRunning*float64(s.state.Busy())
+		cost := time.Duration(float64(max(1, w.Events)) * float64(s.pace) * crowd)
+		if s.state.Entry.ID != home {
+			cost += homeWorth
 		}
-		if s.slow {
-			cost += slowCost
+		if w.Events >= longEvents && s.state.Entry.Versions[w.Model] < newest {
+			cost += newestWorth
 		}
 		if s.state.Entry.ID == w.Avoid {
 			cost += avoidCost
@@ -159,15 +227,6 @@
 	return best
 }
 
-const (
-	// homeWorth is how much fuller, as a share of its slots, the endpoint that
-	// has read a group's prompt may be than another.
-	homeWorth = 0.4
-	// slowCost and avoidCost rank endpoints behind all others.
-	slowCost  = 4.0
-	avoidCost = 2.0
-)
-
 // fits reports whether an endpoint's weights may generate for the item.
 func fits(w Waiting, entry fleet.Entry) bool {
 	version, ok := entry.Versions[w.Model]
--- a/batch/run.go
+++ b/batch/run.go
@@ -20,6 +20,8 @@
 const (
 	// rescan is how often waiting items are looked at again without news.
 	rescan = 100 * time.Millisecond
+	// moveInterval is how often running items are looked at.
+	moveInterval = 250 * time.Millisecond
 	// stallLimit is how long a stream may bring nothing before it is continued
 	// elsewhere: events come every 40 ms, every 200 ms at a slow endpoint.
 	stallLimit = 1200 * time.Millisecond
@@ -99,9 +101,10 @@
 				continue
 			}
 			places = append(places, place{job: j, item: i})
-			waiting[service] = append(waiting[service], waitingOf(j, i, len(places)-1))
+			waiting[service] = append(waiting[service], waitingOf(j, i, len(places)-1, k.strideOf(service)))
 		}
 	}
+	k.move(now)
 	for service, list := range waiting {
 		states := k.parts.Fleet.Serving(service)
 		for _, p := range Plan(list, states, k.homes) {
@@ -109,7 +112,57 @@
 			left--
 		}
 	}
-	return left > 0
+	return left > 0 || k.anyRunning()
+}
+
+func (k *Keeper) anyRunning() bool {
+	for _, j := range k.jobs {
+		if len(j.running) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// strideOf returns how many tokens one event of a service's streams holds.
+func (k *Keeper) strideOf(service string) int {
+	if table := k.parts.Routes(); table != nil {
+		if s, ok := table.Service(service); ok && s.Stride > 0 {
+			return s.Stride
+		}
+	}
+	return usualStride
+}
+
+// move takes running items to endpoints where they end sooner.
+func (k *Keeper) move(now time.Time) {
+	if now.Sub(k.movedAt) < moveInterval {
+		return
+	}
+	k.movedAt = now
+	running := make(map[string][]Running)
+	var places []place
+	for _, j := range k.jobs {
+		service := j.route.Service(j.head.ID)
+		for i, r := range j.running {
+			places = append(places, place{job: j, item: i})
+			running[service] = append(running[service], Running{
+				Waiting:  waitingOf(j, i, len(places)-1, k.strideOf(service)),
+				Endpoint: r.target.ID(), Done: len(j.items[i].texts), Since: now.Sub(r.since),
+			})
+		}
+	}
+	for service, list := range running {
+		for _, index := range Moves(list, k.parts.Fleet.Serving(service)) {
+			p := places[index]
+			r := p.job.running[p.item]
+			r.moved = true
+			event.ItemMoved.Log(k.parts.Logger, zap.String("batch", p.job.head.ID),
+				zap.String("item", p.job.sub.Items[p.item].ID), zap.String("endpoint", r.target.ID()),
+				zap.Int("events", len(p.job.items[p.item].texts)))
+			r.cancel()
+		}
+	}
 }
 
 // expired gives an item up whose time in the queue is over.
@@ -128,11 +181,11 @@
 	k.finish(j, Result{Item: it.ID, Failed: true, Text: strings.Join(j.items[i].texts, "\n"), Versions: j.items[i].versions})
 }
 
-func waitingOf(j *job, i, index int) Waiting {
+func waitingOf(j *job, i, index, stride int) Waiting {
 	it, state := &j.sub.Items[i], &j.items[i]
 	w := Waiting{
 		Index: index, Batch: j.head.ID, Group: it.Group, Model: j.sub.Model, MinVersion: j.sub.MinVersion,
-		Length: it.Length, Due: j.due(), Avoid: state.avoid,
+		Events: max(0, it.Length/stride-len(state.texts)), Due: j.due(), Avoid: state.avoid,
 	}
 	if j.route.SingleVersion && len(state.versions) == 1 {
 		w.Only = state.versions[0]
@@ -143,13 +196,14 @@
 // begin runs an item at an endpoint. The caller holds the lock.
 func (k *Keeper) begin(j *job, i int, target fleet.Target) {
 	ctx, cancel := context.WithCancel(k.ctx)
-	j.running[i] = cancel
+	r := &itemRun{cancel: cancel, target: target, since: time.Now()}
+	j.running[i] = r
 	k.parts.Fleet.Begin(target.ID())
 	k.tasks.Go(func() {
 		defer cancel()
 		reply, err := k.runItem(ctx, cancel, j, i, target)
 		k.parts.Fleet.End(target.ID(), runResult(ctx, reply, err))
-		k.after(ctx, j, i, target, reply, err)
+		k.after(ctx, j, i, r, reply, err)
 	})
 }
 
@@ -245,7 +299,8 @@
 }
 
 // after decides what the end of a run means for its item.
-func (k *Keeper) after(ctx context.Context, j *job, i int, target fleet.Target, reply relay.Reply, err error) {
+func (k *Keeper) after(ctx context.Context, j *job, i int, r *itemRun, reply relay.Reply, err error) {
+	target := r.target
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	defer k.nudge()
@@ -267,6 +322,9 @@
 		return
 	}
 	state.avoid = target.ID()
+	if r.moved {
+		return
+	}
 	state.failures++
 	state.after = time.Now().Add(min(maxFailurePause, failurePause*time.Duration(state.failures)))
 	event.ItemRunFailed.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -5,16 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
-
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/routes"
-	"github.com/currantloft/currantloft/waits"
 )
 
 const (
-	// storePause is the pause between two tries of a call that must succeed.
-	storePause = 150 * time.Millisecond
 	// partShare is the share of an object that a part of a body takes, since
 	// JSON writes bytes in base64.
 	partShare = 0.7
@@ -82,19 +77,15 @@
 	return parts, nil
 }
 
-// create makes an object, trying again until it is there or the context ends.
-// An object that exists already is fine: the same content was sent before.
+// create makes an object that may exist already: the same content was sent
+// before.
 func (k *Keeper) create(ctx context.Context, kind, name string, spec []byte) error {
-	for {
-		_, err := k.parts.Store.Create(ctx, kind, name, spec)
-		var exists *object.ExistsError
-		if err == nil || errors.As(err, &exists) {
-			return nil
-		}
-		if waits.For(ctx, storePause) != nil {
-			return err
-		}
+	_, err := object.CreateSure(ctx, k.parts.Store, kind, name, spec)
+	var exists *object.ExistsError
+	if errors.As(err, &exists) {
+		return nil
 	}
+	return err
 }
 
 // submission reads a batch's body back.
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -67,6 +67,8 @@
 		Slots int
 		// CacheTokens is the memory of an engine.
 		CacheTokens int
+		// Stride is how many tokens one event of a stream holds, 0 if unknown.
+		Stride int
 		// Models are the models that an engine serves.
 		Models []string
 	}
