perf(batch): one keeper a trainer, unfinished groups go on, fewer calls

Cause: each step was kept by another node, which opened its own connections to all engines and generated anew what the step before had of a group; the store was listed every 0.46 s where a change has two seconds. Ruled out: waiting for the newest weights with all items (not measured yet).

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -19,6 +19,11 @@
 	// acceptWait is how long an acceptance is tried while the store is away: an
 	// outage takes some seconds, and the trainer waits for some more.
 	acceptWait = 8 * time.Second
+	// offerWait is how long a node may take to take an offer; it reads some
+	// hundred kilobytes.
+	offerWait = 250 * time.Millisecond
+	// mostOffers bounds the offers that wait for their acceptance.
+	mostOffers = 8
 	// acceptRetry is when a trainer that was refused comes back.
 	acceptRetry = time.Second
 	// endWait is how long the end of a batch is tried to be made lasting.
@@ -41,13 +46,13 @@
 		event.BatchAgain.Log(k.parts.Logger, zap.String("batch", s.ID))
 		return Kept{}
 	}
+	keeper, incarnation := k.chooseKeeper(ctx, s)
 	parts, err := k.storeBody(ctx, s)
 	if err != nil {
 		// Without a head no part of the batch can ever run.
 		event.BatchRefused.Log(k.parts.Logger, zap.String("batch", s.ID), zap.Error(err))
 		return NotKept{RetryAfter: acceptRetry, Cause: err}
 	}
-	keeper, incarnation := k.chooseKeeper(s.ID)
 	head := Head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, Step: s.Step, Items: len(s.Items),
 		Keeper: keeper, Incarnation: incarnation, AcceptedMs: begun.UnixMilli(), Parts: parts,
@@ -62,7 +67,7 @@
 		zap.String("keeper", head.Keeper), zap.Duration("took", time.Since(begun)))
 	k.mu.Lock()
 	k.learn(Notice{Head: head})
-	if head.Keeper == k.parts.Name && head.Incarnation == k.parts.Incarnation && !k.leaving {
+	if k.mine(head) {
 		k.open(k.newJob(head, s))
 	}
 	k.mu.Unlock()
@@ -70,19 +75,51 @@
 	return outcome
 }
 
-// chooseKeeper returns who is to keep a new batch: this node unless it leaves.
-func (k *Keeper) chooseKeeper(id string) (string, uint64) {
-	k.mu.Lock()
-	leaving := k.leaving
-	k.mu.Unlock()
-	if leaving {
-		if name, ok := rendez.First(id, k.parts.Peers.Staying()); ok {
-			return name, k.parts.Peers.Incarnation(name)
-		}
+// chooseKeeper returns who is to keep a new batch. All batches of a trainer go to
+// one node while that runs: it has what was generated for groups that come
+// again, and its connections. The node is offered the batch; one that does not
+// answer is passed over for this node.
+func (k *Keeper) chooseKeeper(ctx context.Context, s Submission) (string, uint64) {
+	name, ok := rendez.First(s.Host+s.Model, k.parts.Peers.Staying())
+	if !ok || name == k.parts.Name {
+		return k.parts.Name, k.parts.Incarnation
+	}
+	incarnation := k.parts.Peers.Incarnation(name)
+	limited, cancel := context.WithTimeout(ctx, offerWait)
+	defer cancel()
+	err := k.parts.Peers.OfferTo(limited, name, s)
+	if err == nil {
+		return name, incarnation
 	}
+	event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", s.ID), zap.String("keeper", name), zap.Error(err))
 	return k.parts.Name, k.parts.Incarnation
 }
 
+// Offered takes a batch that this node is to keep once it is accepted.
+func (k *Keeper) Offered(id, host, path string, raw []byte) bool {
+	s, err := k.parts.Decode(id, host, path, raw)
+	if err != nil {
+		event.BatchUnreadable.Log(k.parts.Logger, zap.String("batch", id), zap.Error(err))
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving {
+		return false
+	}
+	if len(k.offers) >= mostOffers {
+		// Offers that were never accepted; the store has what was.
+		clear(k.offers)
+	}
+	k.offers[id] = s
+	return true
+}
+
+// mine reports whether the head names this start of this node as the keeper.
+func (k *Keeper) mine(head Head) bool {
+	return head.Keeper == k.parts.Name && head.Incarnation == k.parts.Incarnation && !k.leaving
+}
+
 // storeHead creates the head, which is what accepts the batch.
 func (k *Keeper) storeHead(ctx context.Context, head Head) (Head, Accepted) {
 	spec, err := json.Marshal(head)
--- a/batch/flush.go
+++ b/batch/flush.go
@@ -8,7 +8,7 @@
 	flushSoon = 30 * time.Millisecond
 	// flushIdle is how long a result waits otherwise; the due time of a batch is
 	// some seconds, and readers ask twice a second.
-	flushIdle = 400 * time.Millisecond
+	flushIdle = time.Second
 	// flushDue is how near to its due time a batch's results are written at once.
 	flushDue = time.Second
 )
--- a/batch/job.go
+++ b/batch/job.go
@@ -93,6 +93,7 @@
 
 // endJob ends a batch's work. The caller holds the lock.
 func (k *Keeper) endJob(j *job) {
+	k.keepRests(j)
 	j.book.End()
 	k.stopRuns(j)
 	close(j.changed)
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -73,6 +73,8 @@
 		Incarnation(name string) uint64
 		// Tell sends a notice to all other nodes.
 		Tell(notice Notice)
+		// OfferTo gives a batch to the node that is to keep it.
+		OfferTo(ctx context.Context, name string, s Submission) error
 		// ReadAt reads results at the node that keeps the batch, or returns
 		// ErrNotKept.
 		ReadAt(ctx context.Context, name, id string, after int, wait time.Duration) (Page, error)
@@ -112,6 +114,8 @@
 		heads   map[string]*known
 		homes   Homes
 		cache   *cache
+		offers  map[string]Submission
+		rests   *rests
 		leaving bool
 		movedAt time.Time
 	}
@@ -131,7 +135,7 @@
 	k := &Keeper{
 		parts: parts, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		jobs: make(map[string]*job), heads: make(map[string]*known), homes: make(Homes),
-		cache: newCache(),
+		cache: newCache(), offers: make(map[string]Submission), rests: newRests(),
 	}
 	k.tasks.Go(k.scheduleLoop)
 	k.tasks.Go(k.sweepLoop)
@@ -159,6 +163,13 @@
 		k.heads[id] = h
 	}
 	h.handed = h.handed || notice.Handed
+	if s, offered := k.offers[id]; offered {
+		delete(k.offers, id)
+		h.head = notice.Head
+		if !notice.Ended && k.mine(h.head) {
+			k.open(k.newJob(h.head, s))
+		}
+	}
 	if notice.Ended && !h.ended {
 		h.ended = true
 		if j := k.jobs[id]; j != nil {
@@ -323,6 +334,9 @@
 		return
 	}
 	k.jobs[j.head.ID] = j
+	if whole, begun := k.useRests(j); whole+begun > 0 {
+		event.BatchRests.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("whole", whole), zap.Int("begun", begun))
+	}
 	k.tasks.Go(func() { k.writeLoop(j) })
 	k.nudge()
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -65,7 +65,11 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
 			defer cancel()
-			if _, err := o.pool.Do(ctx, h.Peers, call); err != nil {
+			_, err := o.pool.Do(ctx, h.Peers, call)
+			if err != nil && ctx.Err() == nil {
+				_, err = o.pool.Do(ctx, h.Peers, call)
+			}
+			if err != nil {
 				event.HostNotTold.Log(o.logger, zap.String("host", h.Name), zap.Error(err))
 			}
 		}()
@@ -112,6 +116,17 @@
 	}
 }
 
+// OfferTo gives a batch to the node that is to keep it.
+func (o *others) OfferTo(ctx context.Context, name string, s batch.Submission) error {
+	frame, err := o.do(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchOffer{BatchOffer: &wirepb.BatchOffer{
+		Id: s.ID, Host: s.Host, Path: s.Path, Raw: s.Raw,
+	}}})
+	if err == nil && !frame.GetBatchPage().GetKept() {
+		return batch.ErrNotKept
+	}
+	return err
+}
+
 // EndAt ends a batch at another node.
 func (o *others) EndAt(ctx context.Context, name string, head batch.Head) error {
 	notice := encodeNotice(batch.Notice{Head: head, Ended: true})
@@ -160,6 +175,10 @@
 	case *wirepb.Frame_StoreNews:
 		e.mirror.Take(decodeNews(body.StoreNews))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
+	case *wirepb.Frame_BatchOffer:
+		offer := body.BatchOffer
+		kept := e.keeper.Offered(offer.GetId(), offer.GetHost(), offer.GetPath(), offer.GetRaw())
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{Kept: kept}}}
 	case *wirepb.Frame_BatchRead:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: e.serveRead(ctx, body.BatchRead)}}
 	case *wirepb.Frame_BatchBody:
--- a/event/event.go
+++ b/event/event.go
@@ -108,6 +108,7 @@
 	BatchPeerFailed     = define(873, "batch_keeper_unreachable", zapcore.WarnLevel)
 	ItemRunFailed       = define(874, "item_run_failed", zapcore.InfoLevel)
 	ItemGivenUp         = define(875, "item_given_up", zapcore.WarnLevel)
+	BatchRests          = define(878, "batch_goes_on_from_before", zapcore.InfoLevel)
 	ItemMoved           = define(877, "item_moved", zapcore.DebugLevel)
 	ItemDone            = define(876, "item_done", zapcore.DebugLevel)
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,7 +31,7 @@
 const (
 	// baseSlot is the pause between two lists in a small fleet. A change must be
 	// in force within two seconds.
-	baseSlot = 400 * time.Millisecond
+	baseSlot = 800 * time.Millisecond
 	// perNode stretches the pause, since each list is followed by a message to
 	// every node.
 	perNode = 8 * time.Millisecond
