--- a/batch/plan.go
+++ b/batch/plan.go
@@ -28,7 +28,7 @@
 	newestWorth = 400 * time.Millisecond
 	// moveCost is what taking a running item elsewhere costs: a new request, and
 	// reading what was generated.
-	moveCost = 60 * time.Millisecond
+	moveCost = 120 * time.Millisecond
 	// movePause is how long a moved item stays where it is.
 	movePause = time.Second
 	// mostMoves bounds the items that one pass moves.
