--- a/fakes/model/stream.go
+++ b/fakes/model/stream.go
@@ -27,6 +27,12 @@
 		Stored bool `json:"stored"`
 	}
 
+	// madeToken is one token and the version that made it.
+	madeToken struct {
+		text    string
+		version uint64
+	}
+
 	// stream is one answer being made.
 	stream struct {
 		request engine.Request
@@ -36,7 +42,8 @@
 		ready   time.Time
 
 		mu       sync.Mutex
-		made     []engine.Chunk
+		made     []madeToken
+		every    int
 		count    int
 		done     bool
 		failed   bool
@@ -55,6 +62,7 @@
 		slow:     1,
 		changed:  make(chan struct{}),
 		attached: time.Now(),
+		every:    max(1, options.Chunk),
 	}
 	if !options.FixedLength && request.MaxTokens > 1 {
 		s.length = request.MaxTokens/2 + int(h%uint64(request.MaxTokens/2+1))
@@ -66,19 +74,36 @@
 	return s
 }
 
+// maxTokenKey is what a token's text or its key beside the prompt takes at most,
+// in bytes.
+const maxTokenKey = 64
+
 // Token returns the token that a weight version makes at an index.
 func Token(prompt string, seed uint64, index int, version uint64) string {
-	h := xxhash.Sum64String(fmt.Sprintf("%s|%d|%d|%d", prompt, seed, index, version))
-	return fmt.Sprintf("%04x.%d ", h&0xffff, version)
+	key := make([]byte, 0, len(prompt)+maxTokenKey)
+	key = append(append(key, prompt...), '|')
+	key = append(strconv.AppendUint(key, seed, 10), '|')
+	key = append(strconv.AppendInt(key, int64(index), 10), '|')
+	key = strconv.AppendUint(key, version, 10)
+	h := xxhash.Sum64(key)
+	text := make([]byte, 0, maxTokenKey)
+	for shift := 12; shift >= 0; shift -= 4 {
+		text = append(text, "0123456789abcdef"[h>>shift&0xf])
+	}
+	text = strconv.AppendUint(append(text, '.'), version, 10)
+	return string(append(text, ' '))
 }
 
-func (s *stream) add(token string, index int, version uint64) {
+func (s *stream) add(token string, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.made = append(s.made, engine.Chunk{First: index, Tokens: []string{token}, Version: version})
+	s.made = append(s.made, madeToken{text: token, version: version})
 	s.count++
 	s.done = s.count >= s.length
-	s.signal()
+	// Followers take whole chunks, so that waking them for less is in vain.
+	if s.done || len(s.made)%s.every == 0 {
+		s.signal()
+	}
 }
 
 func (s *stream) fail() {
@@ -111,13 +136,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	base := len(s.request.Generated)
-	for _, c := range s.made[min(max(0, index-base), len(s.made)):] {
+	start := min(max(0, index-base), len(s.made))
+	for i, made := range s.made[start:] {
 		last := len(chunks) - 1
-		if last >= 0 && chunks[last].Version == c.Version {
-			chunks[last].Tokens = append(chunks[last].Tokens, c.Tokens...)
+		if last >= 0 && chunks[last].Version == made.version {
+			chunks[last].Tokens = append(chunks[last].Tokens, made.text)
 			continue
 		}
-		chunks = append(chunks, engine.Chunk{First: c.First, Tokens: slices.Clone(c.Tokens), Version: c.Version})
+		chunks = append(chunks, engine.Chunk{First: base + start + i, Tokens: []string{made.text}, Version: made.version})
 	}
 	return chunks, s.done, s.failed, s.changed
 }
@@ -284,7 +310,7 @@
 		}
 		token := Token(s.request.Prompt, s.request.Seed, s.count, e.version)
 		e.note(s, token)
-		s.add(token, s.count, e.version)
+		s.add(token, e.version)
 		if s.done {
 			e.records[s.request.Stream].Done = true
 			continue
