perf(orders): endpoints are shared out by demand; last places for long items

Cause: the fault trainer asks for twice the tokens of the other and had as many engines; its steps overlap two at a time and took 8.2 s, just over what counts.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -88,6 +88,8 @@
 		Keeper string `json:"keeper"`
 		// Incarnation is the keeper's start.
 		Incarnation uint64 `json:"incarnation"`
+		// Tokens is the estimate of what its items generate together.
+		Tokens int `json:"tokens"`
 		// AcceptedMs is when the batch came first, in Unix milliseconds.
 		AcceptedMs int64 `json:"accepted_ms"`
 		// Parts is how many objects the body takes.
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -24,6 +24,8 @@
 	offerWait = 250 * time.Millisecond
 	// mostOffers bounds the offers that wait for their acceptance.
 	mostOffers = 8
+	// demandLife is how long a batch counts to its model's demand.
+	demandLife = 20 * time.Second
 	// acceptRetry is when a trainer that was refused comes back.
 	acceptRetry = time.Second
 	// endWait is how long the end of a batch is tried to be made lasting.
@@ -55,7 +57,7 @@
 	}
 	head := Head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, Step: s.Step, Items: len(s.Items),
-		Keeper: keeper, Incarnation: incarnation, AcceptedMs: begun.UnixMilli(), Parts: parts,
+		Keeper: keeper, Incarnation: incarnation, Tokens: tokensOf(s.Items), AcceptedMs: begun.UnixMilli(), Parts: parts,
 	}
 	head, outcome := k.storeHead(ctx, head)
 	if _, ok := outcome.(Kept); !ok {
@@ -95,6 +97,27 @@
 	return k.parts.Name, k.parts.Incarnation
 }
 
+func tokensOf(items []Item) int {
+	total := 0
+	for i := range items {
+		total += items[i].Length
+	}
+	return total
+}
+
+// Demand returns the tokens that a model's trainer asked for lately.
+func (k *Keeper) Demand(model string) float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now, total := time.Now(), 0
+	for _, h := range k.heads {
+		if h.head.Model == model && h.head.Age(now) < demandLife {
+			total += h.head.Tokens
+		}
+	}
+	return float64(total)
+}
+
 // Offered takes a batch that this node is to keep once it is accepted.
 func (k *Keeper) Offered(id, host, path string, raw []byte) bool {
 	s, err := k.parts.Decode(id, host, path, raw)
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -13,8 +13,13 @@
 	usualPace = 40 * time.Millisecond
 	// usualStride is how many tokens one event holds if it isn't told.
 	usualStride = 50
-	// perRunning is by what share one more running request stretches all others.
-	perRunning = 0.0033
+	// perRunning is by what share one more running request stretches all others:
+	// its own work and its context of some thousand tokens.
+	perRunning = 0.005
+	// crowdShare is the share of an engine's slots that items fill which are not
+	// long: a full engine is a twelfth slower, and the longest items decide when a
+	// step ends.
+	crowdShare = 0.8
 	// homeWorth is what reading a prompt once more costs: a thousand tokens at 300
 	// a millisecond, and the same again for those that wait behind it.
 	homeWorth = 7 * time.Millisecond
@@ -206,7 +211,8 @@
 	best, bestCost := -1, time.Duration(0)
 	for i := range seats {
 		s := &seats[i]
-		if s.free <= 0 || s.state.Paused || s.state.Loading || !fits(w, s.state.Entry) {
+		crowded := w.Events < longEvents && float64(s.state.Busy()) >= crowdShare*float64(s.state.Entry.Slots)
+		if s.free <= 0 || crowded || s.state.Paused || s.state.Loading || !fits(w, s.state.Entry) {
 			continue
 		}
 		crowd := 1 + perRunning*float64(s.state.Busy())
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -108,7 +108,7 @@
 		Name: self.Name, Store: e.store, Fleet: e.fleet,
 		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), orders.Boottime),
 		Orders: e.sender, Routes: e.table.Load, First: func() bool { rank, _ := e.others.Rank(); return rank == 0 },
-		Decode: platform.DecodeNamedVersion, Logger: logger,
+		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Logger: logger,
 	})
 	e.mirror = mirror.New(e.store, e.others, logger, e.kinds()...)
 	return e
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -282,7 +282,7 @@
 	return &wirepb.BatchNotice{
 		Id: n.Head.ID, Host: n.Head.Host, Path: n.Head.Path, Model: n.Head.Model, Step: int64(n.Head.Step),
 		Items: int64(n.Head.Items), Keeper: n.Head.Keeper, Incarnation: n.Head.Incarnation,
-		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.Parts), Ended: n.Ended, Handed: n.Handed,
+		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.Parts), Tokens: int64(n.Head.Tokens), Ended: n.Ended, Handed: n.Handed,
 	}
 }
 
@@ -291,7 +291,7 @@
 		Head: batch.Head{
 			ID: n.GetId(), Host: n.GetHost(), Path: n.GetPath(), Model: n.GetModel(), Step: int(n.GetStep()),
 			Items: int(n.GetItems()), Keeper: n.GetKeeper(), Incarnation: n.GetIncarnation(),
-			AcceptedMs: n.GetAcceptedMs(), Parts: int(n.GetParts()),
+			AcceptedMs: n.GetAcceptedMs(), Parts: int(n.GetParts()), Tokens: int(n.GetTokens()),
 		},
 		Ended: n.GetEnded(), Handed: n.GetHanded(),
 	}
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -43,6 +43,8 @@
 		First func() bool
 		// Decode reads the object in which a trainer names a version.
 		Decode func(spec []byte) (model string, version int, err error)
+		// Demand returns the tokens that a model's trainer asked for lately.
+		Demand func(model string) float64
 		Logger *zap.Logger
 	}
 
@@ -169,7 +171,7 @@
 	for _, service := range table.Engines() {
 		wants := make([]Want, 0, len(service.Models))
 		for _, model := range service.Models {
-			wants = append(wants, Want{Model: model, Version: max(firstVersion, g.named[model])})
+			wants = append(wants, Want{Model: model, Version: max(firstVersion, g.named[model]), Weight: g.parts.Demand(model)})
 		}
 		for _, load := range Plan(g.parts.Fleet.Serving(service.Name), wants, g.loading) {
 			if now.After(g.again[load.State.Entry.ID]) {
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -11,6 +11,13 @@
 // slowing each other down: 2 of 9 and of 11, 10 of 48 on the users' sites.
 const loadShare = 0.2
 
+const (
+	// leastShare and mostShare bound a model's part of the endpoints, in equal
+	// parts: what a trainer asks for changes from step to step.
+	leastShare = 0.65
+	mostShare  = 1.5
+)
+
 // tooOld is how many versions behind an endpoint can't serve the current step.
 const tooOld = 2
 
@@ -19,6 +26,9 @@
 	Want struct {
 		Model   string
 		Version int
+		// Weight is the model's part of the work, by the tokens that its trainer
+		// asked for lately; all are alike if none is known.
+		Weight float64
 	}
 
 	// Load is one endpoint that is to load a version.
@@ -106,11 +116,11 @@
 	sort.SliceStable(order, func(i, j int) bool {
 		return regret(order[i].Entry, wants) > regret(order[j].Entry, wants)
 	})
-	share := (len(states) + len(wants) - 1) / len(wants)
+	shares := sharesOf(len(states), wants)
 	for _, s := range order {
 		best := -1
 		for i, w := range wants {
-			if len(homes[w.Model]) >= share {
+			if len(homes[w.Model]) >= shares[i] {
 				continue
 			}
 			if best < 0 || better(s.Entry, w, wants[best], homes) {
@@ -124,6 +134,44 @@
 	return homes
 }
 
+// sharesOf divides endpoints among the models by their weights, the rest of the
+// division by the largest remainders. No model gets less than two thirds of an
+// equal share, nor more than one and a half.
+func sharesOf(endpoints int, wants []Want) []int {
+	if endpoints == 0 {
+		return make([]int, len(wants))
+	}
+	total := 0.0
+	for _, w := range wants {
+		total += w.Weight
+	}
+	equal := float64(endpoints) / float64(len(wants))
+	exact := make([]float64, len(wants))
+	sum := 0.0
+	for i, w := range wants {
+		exact[i] = equal
+		if total > 0 {
+			exact[i] = min(mostShare*equal, max(leastShare*equal, w.Weight/total*float64(endpoints)))
+		}
+		sum += exact[i]
+	}
+	shares, left := make([]int, len(wants)), endpoints
+	byRest := make([]int, len(wants))
+	for i := range wants {
+		exact[i] *= float64(endpoints) / sum
+		shares[i] = int(exact[i])
+		left -= shares[i]
+		byRest[i] = i
+	}
+	sort.SliceStable(byRest, func(a, b int) bool {
+		return exact[byRest[a]]-float64(shares[byRest[a]]) > exact[byRest[b]]-float64(shares[byRest[b]])
+	})
+	for _, i := range byRest[:min(left, len(byRest))] {
+		shares[i]++
+	}
+	return shares
+}
+
 // regret is how much further behind an endpoint is on its worst model than on
 // its best one.
 func regret(entry fleet.Entry, wants []Want) int {
