--- /dev/null
+++ b/integ/hosts_test.go
@@ -0,0 +1,400 @@
+package integ
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/currantloft/currantloft/platform/stand"
+)
+
+const (
+	hostName   = "portal.example"
+	plainPath  = "/lookup/"
+	batchPath  = "/rollout/"
+	enginePool = "lm-pool"
+	plainPool  = "portal"
+	testModel  = "tickets"
+)
+
+type (
+	// host is one edge process.
+	host struct {
+		name     string
+		settings string
+		log      string
+		callers  string
+		ready    string
+		resolver string
+		cmd      *exec.Cmd
+		done     chan struct{}
+	}
+
+	// site is a store, endpoints and edge processes.
+	site struct {
+		t       testing.TB
+		ctx     context.Context
+		store   *stand.Store
+		engines []*stand.Engine
+		plains  []*stand.Engine
+		hosts   []*host
+		client  *http.Client
+	}
+
+	// results is a page of a batch's results.
+	results struct {
+		Total   int `json:"total"`
+		Next    int `json:"next"`
+		Results []struct {
+			ID       string `json:"id"`
+			State    string `json:"state"`
+			Text     string `json:"text"`
+			Versions []int  `json:"versions"`
+		} `json:"results"`
+	}
+)
+
+// newSite starts a site with so many edge processes.
+func newSite(t testing.TB, hosts int, limit time.Duration) *site {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	s := &site{t: t, ctx: ctx, store: stand.StartStore(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	t.Cleanup(s.store.Close)
+	for i := range 3 {
+		s.engines = append(s.engines, s.endpoint(stand.EngineOptions{
+			ID: fmt.Sprintf("e%d", i), Service: enginePool, Models: []string{testModel}, Slots: 8,
+			Pace: 20 * time.Millisecond, LoadTime: 50 * time.Millisecond,
+		}))
+	}
+	for i := range 2 {
+		s.plains = append(s.plains, s.endpoint(stand.EngineOptions{
+			ID: fmt.Sprintf("p%d", i), Service: plainPool, Slots: 4, Pace: 5 * time.Millisecond,
+		}))
+	}
+	s.put("config", "main", siteConfig(1))
+	dir := t.TempDir()
+	for i := range hosts {
+		s.addHost(dir, i)
+	}
+	for _, h := range s.hosts {
+		s.eventually(h.name+" is ready", func() bool { return s.status(h, h.ready, "/currantloft/readyz") == http.StatusOK })
+	}
+	s.eventually("all hosts know each other", func() bool {
+		for _, h := range s.hosts {
+			if len(s.addresses(h)) != hosts {
+				return false
+			}
+		}
+		return true
+	})
+	return s
+}
+
+func (s *site) endpoint(options stand.EngineOptions) *stand.Engine {
+	s.t.Helper()
+	e, err := stand.StartEngine(s.store, options)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(e.Close)
+	return e
+}
+
+func siteConfig(version int) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{
+				"name": "lookup", "hostname": hostName, "path_prefix": plainPath, "route_type": "idempotent",
+				"timeout_ms": 2000, "target_latency_ms": 150, "max_attempts": 2, "service": plainPool,
+			},
+			{
+				"name": "once", "hostname": hostName, "path_prefix": "/once/", "route_type": "non_idempotent",
+				"timeout_ms": 2000, "target_latency_ms": 150, "max_attempts": 2, "service": plainPool,
+			},
+			{
+				"name": "rollout", "hostname": hostName, "path_prefix": batchPath, "route_type": "rollout",
+				"timeout_ms": 10000, "target_latency_ms": 400, "result_deadline_ms": 7500, "max_queue_s": 40,
+				"max_attempts": 3, "service": enginePool,
+			},
+		},
+		"services": []map[string]any{
+			{"name": enginePool, "engine": map[string]any{"slots": 8, "stride": 1, "models": []map[string]any{{"name": testModel}}}},
+			{"name": plainPool},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "idle_timeout_ms": 15000},
+	}
+}
+
+// put writes an object of the operator's.
+func (s *site) put(kind, name string, spec any) {
+	s.t.Helper()
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err = s.store.Shelf.Replace(s.ctx, kind, name, raw, 0); err != nil {
+		if _, err = s.store.Shelf.Create(s.ctx, kind, name, raw); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) addHost(dir string, i int) {
+	s.t.Helper()
+	name := fmt.Sprintf("edge-%d", i)
+	h := &host{
+		name: name, settings: filepath.Join(dir, name+".conf"), log: filepath.Join(dir, name+".log"),
+		callers: freeAddress(s.t), ready: freeAddress(s.t), resolver: freeAddress(s.t),
+	}
+	_, peerPort, _ := net.SplitHostPort(freeAddress(s.t))
+	text := fmt.Sprintf(`node_name=%s
+ip=127.0.0.1
+zone=zone-%d
+region=r
+listen.frontend=%s
+listen.ready=%s
+listen.registry=%s
+internal_ports=%s,65535
+platform.address=%s
+limits.memory_mb=134
+bounds.grace_s=8
+bounds.lease_ms=1000
+bounds.thaw_ms=100
+`, name, i%2, h.callers, h.ready, h.resolver, peerPort, s.store.Address())
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	s.hosts = append(s.hosts, h)
+	s.start(h)
+	s.t.Cleanup(func() { s.reap(h) })
+}
+
+func (s *site) start(h *host) {
+	s.t.Helper()
+	log, err := os.OpenFile(h.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer log.Close()
+	h.cmd = exec.Command(binary, "edge")
+	h.cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings)
+	h.cmd.Stdout, h.cmd.Stderr = log, log
+	if err := h.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	h.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		// How it ended stands in its state.
+		_ = cmd.Wait()
+		close(done)
+	}(h.cmd, h.done)
+}
+
+func (h *host) signal(sig syscall.Signal) { _ = h.cmd.Process.Signal(sig) }
+
+// kill ends the process as kill -9 does.
+func (s *site) kill(h *host) {
+	h.signal(syscall.SIGCONT)
+	h.signal(syscall.SIGKILL)
+	<-h.done
+}
+
+func (s *site) reap(h *host) {
+	s.kill(h)
+	text, err := os.ReadFile(h.log)
+	if err != nil {
+		s.t.Error(err)
+	}
+	if strings.Contains(string(text), "DATA RACE") || strings.Contains(string(text), "panic:") {
+		s.t.Errorf("%s raced or panicked", h.name)
+	}
+	if s.t.Failed() {
+		s.t.Logf("%s:\n%s", h.name, text)
+	}
+}
+
+// eventually polls until the condition holds or the test's time is over.
+func (s *site) eventually(what string, condition func() bool) {
+	s.t.Helper()
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			s.t.Fatalf("it never came to pass that %s", what)
+		}
+	}
+}
+
+// send makes one call; status 0 means that there was no answer.
+func (s *site) send(method, address, target, id string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, bytes.NewReader(body))
+	if err != nil {
+		s.t.Error(err)
+		return 0, nil
+	}
+	request.Host = hostName
+	request.Header.Set("Attempt-Id", id)
+	if method == http.MethodGet && strings.Contains(target, "/lots/") {
+		request.Header.Set("Wait-Ms", "500")
+	} else {
+		request.Header.Set("Deadline-Ms", "2500")
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return response.StatusCode, answer
+}
+
+func (s *site) status(_ *host, address, target string) int {
+	status, _ := s.send(http.MethodGet, address, target, "", nil)
+	return status
+}
+
+// addresses asks a host where to connect.
+func (s *site) addresses(h *host) []string {
+	status, body := s.send(http.MethodGet, h.resolver, "/currantloft/resolve?name="+hostName, "", nil)
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if status != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// batchOf returns a submission of so many groups of three items.
+func batchOf(id string, groups, minVersion int) []byte {
+	var items []map[string]any
+	for g := range groups {
+		for i := range 3 {
+			item := fmt.Sprintf("%s-%d-%d", id, g, i)
+			items = append(items, map[string]any{
+				"id": item, "path": batchPath + item, "group": fmt.Sprintf("g%d", g), "tokens": 20,
+				"headers": map[string]string{"Model": testModel, "Length-Hint": "5"},
+				"body":    base64.StdEncoding.EncodeToString([]byte("body of " + item)),
+			})
+		}
+	}
+	raw, err := json.Marshal(map[string]any{
+		"step": 1, "model": testModel, "min_version": minVersion, "desired_count": groups, "items": items,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// submit hands a batch in at a host and returns the status.
+func (s *site) submit(h *host, id string, raw []byte) int {
+	status, _ := s.send(http.MethodPost, h.callers, batchPath+id, id, raw)
+	return status
+}
+
+// submitUntilKept hands a batch in at one host after the other until it is kept.
+func (s *site) submitUntilKept(id string, raw []byte) {
+	s.t.Helper()
+	n := 0
+	s.eventually("batch "+id+" is kept", func() bool {
+		n++
+		return s.submit(s.hosts[n%len(s.hosts)], id, raw) == http.StatusAccepted
+	})
+}
+
+// read asks a host for results.
+func (s *site) read(h *host, id string, after int) (results, int) {
+	var page results
+	status, body := s.send(http.MethodGet, h.callers, fmt.Sprintf("/currantloft/lots/%s?after=%d", id, after), "", nil)
+	if status == http.StatusOK {
+		if err := json.Unmarshal(body, &page); err != nil {
+			s.t.Errorf("a page of batch %s: %v", id, err)
+		}
+	}
+	return page, status
+}
+
+// record is what readers have seen of a batch, by position.
+type record struct {
+	mu    sync.Mutex
+	seen  map[int]string
+	items map[string]int
+}
+
+func newRecord() *record { return &record{seen: make(map[int]string), items: make(map[string]int)} }
+
+// note checks a page against what was seen before.
+func (r *record) note(t testing.TB, page results, after, minVersion int) {
+	t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, got := range page.Results {
+		at := after + i
+		text := got.ID + "|" + got.State + "|" + got.Text
+		if before, ok := r.seen[at]; ok && before != text {
+			t.Errorf("position %d holds %q, it held %q", at, text, before)
+		}
+		if before, ok := r.items[got.ID]; ok && before != at {
+			t.Errorf("item %s stands at %d and %d", got.ID, before, at)
+		}
+		r.seen[at], r.items[got.ID] = text, at
+		if got.State == "completed" && got.Text != stand.Text(got.ID) {
+			t.Errorf("item %s: text %q, want %q", got.ID, got.Text, stand.Text(got.ID))
+		}
+		for _, version := range got.Versions {
+			if version < minVersion {
+				t.Errorf("item %s: version %d is older than %d", got.ID, version, minVersion)
+			}
+		}
+	}
+}
+
+// readWhole reads a batch through changing hosts until all results are there.
+func (s *site) readWhole(id string, r *record, total, minVersion int) {
+	s.t.Helper()
+	n, after := 0, 0
+	s.eventually("batch "+id+" is whole", func() bool {
+		n++
+		page, status := s.read(s.hosts[n%len(s.hosts)], id, after)
+		if status != http.StatusOK {
+			return false
+		}
+		r.note(s.t, page, after, minVersion)
+		after += len(page.Results)
+		return after == total
+	})
+}
