fix(batch): a node that took over shows all that lasts; keepers on large hosts

An empty page is answered only once the store says that there is no further chunk, while another keeper is possible: taken over, paused, a node lost.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -32,6 +32,9 @@
 	endWait = 3500 * time.Millisecond
 	// peerWait is how long a call to the keeper may take beyond what it waits.
 	peerWait = 600 * time.Millisecond
+	// confirmLife is how long the store's word that there are no more results
+	// holds; a position that was read must be there a second later.
+	confirmLife = 400 * time.Millisecond
 	// storedWait is how long a reader waits where no keeper can be asked.
 	storedWait = 300 * time.Millisecond
 )
@@ -82,7 +85,7 @@
 // again, and its connections. The node is offered the batch; one that does not
 // answer is passed over for this node.
 func (k *Keeper) chooseKeeper(ctx context.Context, s Submission) (string, uint64) {
-	name, ok := rendez.First(s.Host+s.Model, k.parts.Peers.Staying())
+	name, ok := rendez.First(s.Host+s.Model, k.parts.Peers.Keepers())
 	if !ok || name == k.parts.Name {
 		return k.parts.Name, k.parts.Incarnation
 	}
@@ -214,21 +217,68 @@
 		}
 		page := j.book.Page(after, pageBytes)
 		changed := j.changed
-		over := j.book.Ended() || page.Next >= page.Total
+		whole := page.Next >= page.Total && after <= page.Total
+		over := j.book.Ended() || whole || wait <= 0
+		doubtful := k.doubtful(j, after)
 		k.mu.Unlock()
-		if len(page.Results) > 0 || over || wait <= 0 {
+		if len(page.Results) > 0 || whole {
+			return page, nil
+		}
+		if doubtful {
+			found, err := k.refresh(ctx, j)
+			if err != nil {
+				return Page{}, err
+			}
+			if found {
+				continue
+			}
+		}
+		if over {
 			return page, nil
 		}
 		select {
 		case <-ctx.Done():
 			return page, nil
 		case <-timer.C:
-			return page, nil
+			wait = 0
 		case <-changed:
 		}
 	}
 }
 
+// doubtful reports whether the store may hold results that this node lacks. The
+// caller holds the lock.
+func (k *Keeper) doubtful(j *job, after int) bool {
+	now := time.Now()
+	if now.Sub(j.confirmed) < confirmLife && after <= j.book.Listed() {
+		return false
+	}
+	return after > j.book.Listed() || now.Before(j.doubtUntil) || now.Sub(k.parts.Peers.LastLost()) < doubtLife
+}
+
+// refresh reads the chunk after the last one that is known.
+func (k *Keeper) refresh(ctx context.Context, j *job) (found bool, err error) {
+	k.mu.Lock()
+	n := j.book.Chunks()
+	k.mu.Unlock()
+	c, err := k.chunkAt(ctx, j.head.ID, n)
+	if err != nil && !errors.Is(err, object.ErrNotFound) {
+		return false, fmt.Errorf("%w: %w", ErrUnsure, err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		j.confirmed = time.Now()
+		return j.book.Chunks() > n, nil
+	}
+	if j.book.Chunks() == n {
+		event.BatchChunkLost.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("chunk", n),
+			zap.String("winner", c.Keeper))
+		k.commit(j, c.Results)
+	}
+	return true, nil
+}
+
 // Body returns the body of an item.
 func (k *Keeper) Body(ctx context.Context, id, item string) ([]byte, error) {
 	body, err := k.BodyHere(id, item)
--- a/batch/job.go
+++ b/batch/job.go
@@ -36,6 +36,10 @@
 		pending  chan struct{}
 		first    time.Time
 		released bool
+		// doubtUntil is until when another keeper may have written chunks,
+		// confirmed when the store last said that there is none.
+		doubtUntil time.Time
+		confirmed  time.Time
 	}
 
 	// itemRun is one run of an item.
@@ -174,16 +178,23 @@
 	k.parts.Scope.Timer("chunk_time").Record(time.Since(begun))
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	j.book.Commit(results)
-	j.first = time.Now()
-	close(j.changed)
-	j.changed = make(chan struct{})
+	if j.book.Chunks() == n {
+		k.commit(j, results)
+	}
 	if j.book.Listed() == j.book.Total() {
 		event.BatchWhole.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("results", j.book.Listed()),
 			zap.Duration("age", j.head.Age(time.Now())))
 	}
 }
 
+// commit notes a chunk that lasts. The caller holds the lock.
+func (k *Keeper) commit(j *job, results []Result) {
+	j.book.Commit(results)
+	j.first, j.confirmed = time.Now(), time.Now()
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
 // winner returns the chunk that stands where ours was to go.
 func (k *Keeper) winner(id string, n int, found object.Entry) (chunk, error) {
 	if len(found.Spec) > 0 {
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -17,6 +17,7 @@
 	"github.com/currantloft/currantloft/relay"
 	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/routes"
+	"github.com/currantloft/currantloft/waits"
 )
 
 const (
@@ -29,6 +30,12 @@
 	// settleTime is how long after its start a node waits to learn of others
 	// before it takes over batches.
 	settleTime = 1200 * time.Millisecond
+	// doubtLife is for how long a batch that another node may have kept too is
+	// read with care.
+	doubtLife = 15 * time.Second
+	// pauseLimit is how long the process may stand still before others may have
+	// taken over what it keeps.
+	pauseLimit = sweepInterval + time.Second
 	// openLife is for how long a batch whose route is unknown is worked on.
 	openLife = 40 * time.Second
 	// pageBytes is the most text in one page of results, in bytes: readers take
@@ -62,6 +69,9 @@
 		Ended bool
 		// Handed says that its keeper has given it up.
 		Handed bool
+		// Taken says that another node has taken it over: its keeper, if it still
+		// runs, may lack results that lasted meanwhile.
+		Taken bool
 	}
 
 	// Peers are the other nodes.
@@ -70,6 +80,10 @@
 		Alive(name string, incarnation uint64) bool
 		// Staying returns the nodes that run and don't leave, with this one.
 		Staying() []string
+		// Keepers returns those of them that may keep batches.
+		Keepers() []string
+		// LastLost returns when a node was last found dead or alive again.
+		LastLost() time.Time
 		// Incarnation returns the start of a node.
 		Incarnation(name string) uint64
 		// Tell sends a notice to all other nodes.
@@ -164,6 +178,9 @@
 		k.heads[id] = h
 	}
 	h.handed = h.handed || notice.Handed
+	if j := k.jobs[id]; j != nil && notice.Taken {
+		j.doubtUntil = time.Now().Add(doubtLife)
+	}
 	if s, offered := k.offers[id]; offered {
 		delete(k.offers, id)
 		h.head = notice.Head
@@ -184,7 +201,7 @@
 	if !h.handed && k.parts.Peers.Alive(h.head.Keeper, h.head.Incarnation) {
 		return h.head.Keeper
 	}
-	name, _ := rendez.First(h.head.ID, k.parts.Peers.Staying())
+	name, _ := rendez.First(h.head.ID, k.parts.Peers.Keepers())
 	return name
 }
 
@@ -217,7 +234,7 @@
 // have gone back to their keeper.
 func (k *Keeper) sweepLoop() {
 	started := time.Now()
-	listed := time.Time{}
+	listed, seen := time.Time{}, waits.Boottime()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -226,7 +243,12 @@
 			return
 		case <-ticker.C:
 		}
-		now := time.Now()
+		now, awake := time.Now(), waits.Boottime()
+		if awake-seen > pauseLimit {
+			event.NodePaused.Log(k.parts.Logger, zap.Duration("pause", awake-seen))
+			k.doubtAll()
+		}
+		seen = awake
 		if now.Sub(started) < settleTime {
 			continue
 		}
@@ -247,6 +269,16 @@
 	}
 }
 
+// doubtAll makes reads of all batches ask the store before they say that there
+// is nothing: another node may have taken them over.
+func (k *Keeper) doubtAll() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, j := range k.jobs {
+		j.doubtUntil = time.Now().Add(doubtLife)
+	}
+}
+
 // list learns of all batches in the store.
 func (k *Keeper) list(ctx context.Context, read object.Read) error {
 	heads, _, err := k.parts.Store.List(ctx, kindHeads, read)
@@ -292,6 +324,7 @@
 			k.stopRuns(j)
 			j.released = true
 			delete(k.jobs, id)
+			go k.parts.Peers.Tell(Notice{Head: h.head, Taken: true})
 			close(j.changed)
 			j.changed = make(chan struct{})
 		}
@@ -326,7 +359,9 @@
 			zap.String("from", h.head.Keeper), zap.Int("listed", j.book.Listed()),
 			zap.Int("total", j.book.Total()), zap.Duration("took", time.Since(begun)))
 		k.parts.Scope.Counter("takeovers").Inc(1)
+		j.doubtUntil = time.Now().Add(openLife)
 		k.open(j)
+		go k.parts.Peers.Tell(Notice{Head: h.head, Taken: true})
 	}
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -49,6 +49,8 @@
 	// memoryShare is the share of the memory limit that the garbage collector
 	// aims at; the rest is for stacks and what has not been read yet.
 	memoryShare = 0.7
+	// thousandths turns cores into what hosts tell of themselves.
+	thousandths = 1000
 	// idleTimeout is how long an idle connection of a caller is kept; the
 	// configuration's own limit is 15 s.
 	idleTimeout = 20 * time.Second
@@ -92,7 +94,7 @@
 	e.sender = platform.NewSender(e.fleet)
 	self := roster.Host{
 		Name: settings.Name(), Incarnation: uint64(time.Now().UnixNano()), Domain: settings.Domain(),
-		Callers: settings.Callers(), Peers: settings.Peers(),
+		Callers: settings.Callers(), Peers: settings.Peers(), Power: uint32(settings.Processor() * thousandths),
 	}
 	e.roster = roster.New(self, e.store, e.pool, logger)
 	e.others = &others{Roster: e.roster, pool: e.pool, logger: logger}
@@ -106,7 +108,7 @@
 	})
 	e.giver = orders.New(orders.Parts{
 		Name: self.Name, Store: e.store, Fleet: e.fleet,
-		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), orders.Boottime),
+		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), waits.Boottime),
 		Orders: e.sender, Routes: e.table.Load, First: func() bool { rank, _ := e.others.Rank(); return rank == 0 },
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Logger: logger,
 	})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -54,7 +54,7 @@
 
 // Rank returns the node's place among those that stay.
 func (o *others) Rank() (rank, nodes int) {
-	names := o.Staying()
+	names := o.Keepers()
 	self := o.Self().Name
 	if !o.Settled() {
 		return len(names), max(1, len(names))
@@ -282,7 +282,7 @@
 	return &wirepb.BatchNotice{
 		Id: n.Head.ID, Host: n.Head.Host, Path: n.Head.Path, Model: n.Head.Model, Step: int64(n.Head.Step),
 		Items: int64(n.Head.Items), Keeper: n.Head.Keeper, Incarnation: n.Head.Incarnation,
-		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.Parts), Tokens: int64(n.Head.Tokens), Ended: n.Ended, Handed: n.Handed,
+		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.Parts), Tokens: int64(n.Head.Tokens), Ended: n.Ended, Handed: n.Handed, Taken: n.Taken,
 	}
 }
 
@@ -293,6 +293,6 @@
 			Items: int(n.GetItems()), Keeper: n.GetKeeper(), Incarnation: n.GetIncarnation(),
 			AcceptedMs: n.GetAcceptedMs(), Parts: int(n.GetParts()), Tokens: int(n.GetTokens()),
 		},
-		Ended: n.GetEnded(), Handed: n.GetHanded(),
+		Ended: n.GetEnded(), Handed: n.GetHanded(), Taken: n.GetTaken(),
 	}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -31,6 +31,7 @@
 	NodeStopped      = define(103, "node_stopped", zapcore.InfoLevel)
 	NodeLoopFailed   = define(104, "node_loop_failed", zapcore.ErrorLevel)
 	NodeDrainTimeout = define(105, "node_drain_timeout", zapcore.WarnLevel)
+	NodePaused       = define(106, "node_was_paused", zapcore.WarnLevel)
 
 	MemberJoined     = define(200, "member_joined", zapcore.InfoLevel)
 	MemberDead       = define(201, "member_dead", zapcore.WarnLevel)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -31,14 +31,18 @@
 const (
 	// baseSlot is the pause between two lists in a small fleet. A change must be
 	// in force within two seconds.
-	baseSlot = 800 * time.Millisecond
+	baseSlot = 700 * time.Millisecond
 	// perNode stretches the pause, since each list is followed by a message to
 	// every node.
 	perNode = 8 * time.Millisecond
 	// backup is how many slots without news make the second node list, and
-	// backupStep how many more each further one.
-	backup     = 1.7
-	backupStep = 0.6
+	// backupStep how much longer each further one waits: a list and its news take
+	// some ten milliseconds.
+	backup     = 1.5
+	backupStep = 80 * time.Millisecond
+	// maxQuiet is how long a node goes without news at most, since it may be the
+	// only one that the others don't reach.
+	maxQuiet = 1600 * time.Millisecond
 	// watchWait is how long a watch waits.
 	watchWait = 8 * time.Second
 	// watchPause is the pause after a watch that failed.
@@ -129,7 +133,7 @@
 	if rank == 0 {
 		return slot
 	}
-	return time.Duration(float64(slot) * (backup + backupStep*float64(rank-1)))
+	return min(maxQuiet, time.Duration(float64(slot)*backup)+time.Duration(rank-1)*backupStep)
 }
 
 // listLoop lists whenever there was no news for too long.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -164,6 +164,16 @@
 	all[1].await(t, map[string]string{"main": "2"}, bound)
 }
 
+func TestPause(t *testing.T) {
+	for _, nodes := range []int{1, 8, 76} {
+		for rank := range nodes {
+			if pause := Pause(rank, nodes); pause > bound {
+				t.Errorf("node %d of %d lists after %v only", rank, nodes, pause)
+			}
+		}
+	}
+}
+
 func TestOldNewsChangesNothing(t *testing.T) {
 	node := newSeen()
 	m := New(shelf.New(), seat{&group{}, 1}, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/currantloft/currantloft/object"
 )
 
@@ -54,15 +52,6 @@
 // errHeld says that another node's lease may still hold.
 var errHeld = errors.New("another node may hold the lease")
 
-// Boottime tells the time since boot, suspension included.
-func Boottime() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic(fmt.Sprintf("the clock that counts suspension can't be read: %v", err))
-	}
-	return time.Duration(ts.Nano())
-}
-
 // NewLease returns a lease that nobody is known to hold.
 func NewLease(
 	store object.Store, holder string, incarnation uint64, length, thaw time.Duration, now func() time.Duration,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -75,6 +75,8 @@
 		// Callers and Peers are where callers and other nodes connect.
 		Callers string `json:"callers"`
 		Peers   string `json:"peers"`
+		// Power is the host's processor, in thousandths of a core.
+		Power   uint32 `json:"power"`
 		Leaving bool   `json:"-"`
 	}
 
@@ -89,6 +91,7 @@
 		self Host
 		// settled is when the node knows all that had registered before it.
 		settled time.Time
+		lostAt  time.Time
 		hosts   map[string]*peer
 	}
 
@@ -204,6 +207,30 @@
 	return hosts
 }
 
+// Keepers returns the names of the staying nodes that carry the heavy duties:
+// those with at least half of the largest one's processor.
+func (r *Roster) Keepers() []string {
+	hosts := r.StayingHosts()
+	most := uint32(0)
+	for _, h := range hosts {
+		most = max(most, h.Power)
+	}
+	var names []string
+	for _, h := range hosts {
+		if 2*h.Power >= most {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+// LastLost returns when a node was last found dead or alive again.
+func (r *Roster) LastLost() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lostAt
+}
+
 // register writes the node's own entry.
 func (r *Roster) register(ctx context.Context) {
 	self := r.Self()
@@ -353,6 +380,9 @@
 	if p != nil && p.host.Incarnation > h.Incarnation {
 		return
 	}
+	if p != nil && p.dead {
+		r.lostAt = time.Now()
+	}
 	if p == nil || p.host.Incarnation != h.Incarnation || p.dead {
 		event.HostJoined.Log(r.logger, zap.String("host", h.Name), zap.Uint64("incarnation", h.Incarnation))
 	}
@@ -407,6 +437,7 @@
 	p.failures++
 	if p.failures >= deadAfter || errors.Is(err, syscall.ECONNREFUSED) {
 		p.dead = true
+		r.lostAt = time.Now()
 		event.HostDead.Log(r.logger, zap.String("host", h.Name), zap.Int("failures", p.failures), zap.Error(err))
 		if r.onDead != nil {
 			go r.onDead(h)
@@ -449,13 +480,13 @@
 func infoOf(h Host) *wirepb.HostInfo {
 	return &wirepb.HostInfo{
 		Name: h.Name, Incarnation: h.Incarnation, Domain: h.Domain,
-		CallerAddress: h.Callers, PeerAddress: h.Peers, Leaving: h.Leaving,
+		CallerAddress: h.Callers, PeerAddress: h.Peers, Leaving: h.Leaving, Power: h.Power,
 	}
 }
 
 func hostOf(info *wirepb.HostInfo) Host {
 	return Host{
 		Name: info.GetName(), Incarnation: info.GetIncarnation(), Domain: info.GetDomain(),
-		Callers: info.GetCallerAddress(), Peers: info.GetPeerAddress(), Leaving: info.GetLeaving(),
+		Callers: info.GetCallerAddress(), Peers: info.GetPeerAddress(), Leaving: info.GetLeaving(), Power: info.GetPower(),
 	}
 }
--- a/setup/host.go
+++ b/setup/host.go
@@ -18,6 +18,8 @@
 		DataDir string
 		// Memory is the limit of the process, in bytes.
 		Memory int64
+		// Processor is the host's share of a core.
+		Processor float64
 		// Heartbeat is how often endpoints refresh their entries.
 		Heartbeat time.Duration
 		// AddressLifetime is the longest that a caller keeps an address answer.
@@ -72,6 +74,9 @@
 // Memory returns the memory limit in bytes.
 func (h *Host) Memory() int64 { return h.parts.Memory }
 
+// Processor returns the host's share of a core.
+func (h *Host) Processor() float64 { return h.parts.Processor }
+
 // Heartbeat returns how often endpoints refresh their entries.
 func (h *Host) Heartbeat() time.Duration { return h.parts.Heartbeat }
 
