fix(mirror): a node that starts in an outage lists once itself

TestANodeThatStartsInAnOutage fails without the fix, passes with it. Creations in an outage are tried every 120 ms, and what the tries in flight brought is waited for before a refusal is said to be sure (TestCreateSure). Ruled out: the acceptance itself (the batches were kept).

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -138,10 +138,10 @@
 
 // listLoop lists whenever there was no news for too long.
 func (m *Mirror) listLoop(ctx context.Context) {
-	failures := 0
+	failures, whole := 0, false
 	for ctx.Err() == nil {
 		if m.list(ctx) {
-			failures = 0
+			failures, whole = 0, true
 		} else {
 			failures++
 		}
@@ -160,7 +160,8 @@
 			case <-timer.C:
 			}
 			timer.Stop()
-			if !heard || rank == 0 {
+			// News hold only what has changed: a node lists once itself.
+			if !heard || rank == 0 || !whole {
 				break
 			}
 		}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -174,6 +174,33 @@
 	}
 }
 
+// TestANodeThatStartsInAnOutage replays a finding (trouble-3 of horasol-gt): a
+// node started while the store was away, heard news from others after that, and
+// never listed what had not changed since.
+func TestANodeThatStartsInAnOutage(t *testing.T) {
+	s := shelf.New()
+	put(t, s, "main", "1")
+	s.SetFaults(shelf.Faults{Refuse: true})
+	g, all := start(t, s)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				g.mirrors[1].Take([]News{{Kind: kind, At: 9}})
+			}
+		}
+	}()
+	for s.Calls() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	s.SetFaults(shelf.Faults{})
+	all[1].await(t, map[string]string{"main": "1"}, bound)
+}
+
 func TestOldNewsChangesNothing(t *testing.T) {
 	node := newSeen()
 	m := New(shelf.New(), seat{&group{}, 1}, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
--- a/object/sure.go
+++ b/object/sure.go
@@ -11,8 +11,11 @@
 	// more: an answer takes 4 ms, and a quarter of a second while the store is
 	// slow. A connection that went silent shows by nothing else.
 	hedgeAfter = 350 * time.Millisecond
+	// hedgeAgain is the pause between later tries: the store is away, and a caller
+	// that waits a second for its answer must not miss its return.
+	hedgeAgain = 120 * time.Millisecond
 	// mostInFlight bounds the tries of one creation that wait for an answer.
-	mostInFlight = 4
+	mostInFlight = 6
 	// refusedPause is the pause after a definite refusal.
 	refusedPause = 150 * time.Millisecond
 )
@@ -42,7 +45,17 @@
 	for {
 		select {
 		case <-ctx.Done():
-			if maybe || inFlight > 0 {
+			// The tries in flight end with the context; one may have brought the
+			// answer.
+			for ; inFlight > 0; inFlight-- {
+				r := <-results
+				var exists *ExistsError
+				if r.err == nil || errors.As(r.err, &exists) {
+					return r.entry, r.err
+				}
+				last, maybe = r.err, maybe || !errors.Is(r.err, ErrRefused)
+			}
+			if maybe {
 				return Entry{}, errors.Join(ErrUnsure, last)
 			}
 			return Entry{}, last
@@ -50,7 +63,7 @@
 			if inFlight < mostInFlight {
 				send()
 			}
-			timer.Reset(hedgeAfter)
+			timer.Reset(hedgeAgain)
 		case r := <-results:
 			inFlight--
 			var exists *ExistsError
