--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -181,24 +181,24 @@
 	s := shelf.New()
 	put(t, s, "main", "1")
 	s.SetFaults(shelf.Faults{Refuse: true})
-	g, all := start(t, s)
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(50 * time.Millisecond):
-				g.mirrors[1].Take([]News{{Kind: kind, At: 9}})
-			}
+	node := newSeen()
+	m := New(s, seat{&group{}, 1}, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	running.Go(func() { _ = m.Run(ctx) })
+	running.Go(func() {
+		for ctx.Err() == nil {
+			m.Take([]News{{Kind: kind, At: 9}})
+			time.Sleep(50 * time.Millisecond)
 		}
-	}()
+	})
 	for s.Calls() < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	s.SetFaults(shelf.Faults{})
-	all[1].await(t, map[string]string{"main": "1"}, bound)
+	node.await(t, map[string]string{"main": "1"}, bound)
 }
 
 func TestOldNewsChangesNothing(t *testing.T) {
