--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -181,6 +181,7 @@
 	s := shelf.New()
 	put(t, s, "main", "1")
 	s.SetFaults(shelf.Faults{Refuse: true})
+	before := s.Calls()
 	node := newSeen()
 	m := New(s, seat{&group{}, 1}, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -194,7 +195,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	})
-	for s.Calls() < 2 {
+	for s.Calls() == before {
 		time.Sleep(time.Millisecond)
 	}
 	s.SetFaults(shelf.Faults{})
