--- /dev/null
+++ b/relay/serve_test.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/routes"
+)
+
+type (
+	// script answers the attempts of a request one after the other.
+	script struct {
+		mu    sync.Mutex
+		steps []func(ctx context.Context) Reply
+		sent  []string
+		ended int
+	}
+)
+
+func (s *script) Send(ctx context.Context, target fleet.Target, _ Request) Reply {
+	s.mu.Lock()
+	n := len(s.sent)
+	s.sent = append(s.sent, target.ID())
+	step := s.steps[min(n, len(s.steps)-1)]
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.ended++
+		s.mu.Unlock()
+	}()
+	return step(ctx)
+}
+
+func answer(status int, body string) func(context.Context) Reply {
+	return func(context.Context) Reply {
+		return Answer{
+			Status: status, Signed: true, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+		}
+	}
+}
+
+func lost(context.Context) Reply { return Lost{Cause: errTest} }
+
+func full(context.Context) Reply { return NotRun{Sent: true, Full: true, Cause: errTest} }
+
+func hang(ctx context.Context) Reply {
+	<-ctx.Done()
+	return Lost{Cause: ctx.Err()}
+}
+
+// serve runs a request over three endpoints.
+func serve(ctx context.Context, kind routes.Kind, steps ...func(context.Context) Reply) (End, *script) {
+	f := fleet.New(time.Now)
+	for i := range 3 {
+		f.Put(fleet.Entry{ID: fmt.Sprintf("e%d", i), Service: "s", Address: "a:1", Slots: 4})
+	}
+	sender := &script{steps: steps}
+	r := New(f, sender, "a", tally.NoopScope, zap.NewNop())
+	end := r.Serve(ctx, Request{ID: "r", After: -1}, routes.Route{
+		Kind: kind, Shares: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2,
+		Timeout: 400 * time.Millisecond, TargetLatency: 80 * time.Millisecond,
+	})
+	return end, sender
+}
+
+func TestServe(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		kind  routes.Kind
+		steps []func(context.Context) Reply
+		want  string
+		sent  int
+	}{
+		{"answered", routes.Idempotent, []func(context.Context) Reply{answer(200, "ok")}, "relay.Whole", 1},
+		{"full, then answered", routes.NonIdempotent, []func(context.Context) Reply{full, answer(200, "ok")}, "relay.Whole", 2},
+		{"lost, then answered", routes.Idempotent, []func(context.Context) Reply{lost, answer(200, "ok")}, "relay.Whole", 2},
+		{"lost once and for all", routes.NonIdempotent, []func(context.Context) Reply{lost}, "relay.Failed", 1},
+		{"lost twice", routes.Idempotent, []func(context.Context) Reply{lost}, "relay.Failed", 2},
+		{"its own failure stands", routes.NonIdempotent, []func(context.Context) Reply{answer(500, "no")}, "relay.Whole", 1},
+		{"its own failure is replaced", routes.Idempotent, []func(context.Context) Reply{answer(500, "no"), answer(200, "ok")}, "relay.Whole", 2},
+		{"a late one runs twice", routes.Idempotent, []func(context.Context) Reply{hang, answer(200, "ok")}, "relay.Whole", 2},
+		{"a late one runs once", routes.NonIdempotent, []func(context.Context) Reply{hang}, "relay.Failed", 1},
+		{"all are full", routes.NonIdempotent, []func(context.Context) Reply{full}, "relay.Refused", 3},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			begun := time.Now()
+			end, sender := serve(t.Context(), tc.kind, tc.steps...)
+			if got := fmt.Sprintf("%T", end); got != tc.want {
+				t.Errorf("got %s, want %s", got, tc.want)
+			}
+			sender.mu.Lock()
+			defer sender.mu.Unlock()
+			if len(sender.sent) != tc.sent {
+				t.Errorf("sent to %v, want %d", sender.sent, tc.sent)
+			}
+			if took := time.Since(begun); took > 500*time.Millisecond {
+				t.Errorf("took %v, its time limit is 400 ms", took)
+			}
+		})
+	}
+}
+
+// TestCallerLeaves checks that attempts end when the caller has left.
+func TestCallerLeaves(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	timer := time.AfterFunc(20*time.Millisecond, cancel)
+	defer timer.Stop()
+	end, sender := serve(ctx, routes.Idempotent, hang)
+	failed, ok := end.(Failed)
+	if !ok || failed.TimedOut {
+		t.Errorf("got %#v", end)
+	}
+	deadline := time.Now().Add(time.Second)
+	for time.Now().Before(deadline) {
+		sender.mu.Lock()
+		ended := sender.ended == len(sender.sent)
+		sender.mu.Unlock()
+		if ended {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Error("an attempt goes on after the caller has left")
+}
+
+// TestUnsignedAnswer checks that a success without a signature is none.
+func TestUnsignedAnswer(t *testing.T) {
+	end, _ := serve(t.Context(), routes.NonIdempotent, func(context.Context) Reply {
+		return Answer{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("x"))}
+	})
+	failed, ok := end.(Failed)
+	if !ok || !errors.Is(failed.Cause, errUnsigned) {
+		t.Errorf("got %#v", end)
+	}
+}
