--- a/cmds/edge.go
+++ b/cmds/edge.go
@@ -16,10 +16,12 @@
 	return &cli.Command{
 		Name:  "edge",
 		Usage: "run one node on the prepared platform until SIGTERM, then stop gracefully",
-		Flags: hostFlags(),
+		Flags: append(hostFlags(), &cli.IntFlag{
+			Name: "admin-port", Usage: "`PORT` of metrics, status and dump, 0 for none",
+		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return onHost(c, func(settings *setup.Host, logger *zap.Logger) error {
-				e := edge.New(settings, logger)
+				e := edge.New(settings, c.Int("admin-port"), logger)
 				go followSettings(ctx, c.String("settings"), logger, e.Reload)
 				return e.Run(ctx)
 			})
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -73,6 +73,7 @@
 			applyCommand(),
 			statusCommand(),
 			dumpCommand(),
+			whyCommand(),
 			drainCommand(),
 			loadCommand(),
 			demoCommand(),
--- /dev/null
+++ b/edge/admin.go
@@ -0,0 +1,105 @@
+package edge
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"github.com/currantloft/currantloft/batch"
+	"github.com/currantloft/currantloft/entry"
+	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/orders"
+)
+
+type (
+	// State is the dump of a node on the prepared platform.
+	State struct {
+		// Status is what operators see first.
+		Status entry.Status `json:"status"`
+		// Leaving says that a planned stop has begun.
+		Leaving bool `json:"leaving"`
+		// Rank is the node's place for duties of one node, 0 for the first.
+		Rank int `json:"rank"`
+		// Endpoints are what the node knows of endpoints.
+		Endpoints []fleet.State `json:"endpoints"`
+		// Batches are the batches that the node keeps.
+		Batches []batch.JobState `json:"batches"`
+		// Orders is what it knows of weight versions.
+		Orders orders.State `json:"orders"`
+		// Store counts its calls of the platform's store.
+		Store StoreState `json:"store"`
+		// Dials counts connections that were opened to endpoints.
+		Dials int64 `json:"dials"`
+		// Goroutines counts them, HeapBytes is the memory in use.
+		Goroutines int    `json:"goroutines"`
+		HeapBytes  uint64 `json:"heap_bytes"`
+	}
+
+	// StoreState counts calls of the platform's store.
+	StoreState struct {
+		// Calls counts calls since the start, Failed those without a good answer.
+		Calls  int64 `json:"calls"`
+		Failed int64 `json:"failed"`
+		// Reachable says that the last direct call was answered.
+		Reachable bool `json:"reachable"`
+	}
+)
+
+// admin serves metrics, the status and the state dump to operators.
+func (e *Edge) admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.meter.Handler())
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { e.reply(w, e.status()) })
+	mux.HandleFunc("GET /v1/dump", func(w http.ResponseWriter, _ *http.Request) { e.reply(w, e.Dump()) })
+	return mux
+}
+
+func (e *Edge) reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		e.logger.Debug("answering an operator", zap.Error(err))
+	}
+}
+
+// status describes the node; its configuration's version is the generation.
+func (e *Edge) status() entry.Status {
+	self := e.roster.Self()
+	status := entry.Status{Node: self.Name}
+	if table := e.table.Load(); table != nil {
+		status.Generation = table.Version()
+	}
+	for _, h := range append(e.roster.Others(), self) {
+		state := "alive"
+		if h.Leaving {
+			state = "leaving"
+		}
+		ip, _, err := net.SplitHostPort(h.Peers)
+		if err != nil {
+			e.logger.Debug("a node's address", zap.String("host", h.Name), zap.Error(err))
+			continue
+		}
+		status.Members = append(status.Members, entry.MemberStatus{
+			Name: h.Name, Domain: h.Domain, State: state,
+			URL: "http://" + net.JoinHostPort(ip, strconv.Itoa(e.adminPort)),
+		})
+	}
+	return status
+}
+
+// Dump returns the state of the process.
+func (e *Edge) Dump() State {
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	rank, _ := e.others.Rank()
+	sent, failed := e.store.Calls()
+	return State{
+		Status: e.status(), Leaving: e.leaving.Load(), Rank: rank, Endpoints: e.fleet.All(),
+		Batches: e.keeper.Dump(), Orders: e.giver.Dump(),
+		Store: StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
+		Dials: e.sender.Dials(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -79,18 +80,20 @@
 		// guards it.
 		lapse   time.Time
 		leaving atomic.Bool
+		// adminPort is where operators connect, 0 for nowhere.
+		adminPort int
 	}
 )
 
 // New puts a node together; nothing listens yet.
-func New(settings *setup.Host, logger *zap.Logger) *Edge {
+func New(settings *setup.Host, adminPort int, logger *zap.Logger) *Edge {
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory())))
 	e := &Edge{
-		logger: logger, meter: meter.New(), pool: peers.NewPool(),
+		logger: logger, adminPort: adminPort, meter: meter.New(), pool: peers.NewPool(),
 		fleet: fleet.New(time.Now),
 	}
 	e.settings.Store(settings)
-	e.store = platform.NewStore(settings.Store(), logger)
+	e.store = platform.NewStore(settings.Store(), e.meter.Scope(), logger)
 	e.sender = platform.NewSender(e.fleet)
 	self := roster.Host{
 		Name: settings.Name(), Incarnation: uint64(time.Now().UnixNano()), Domain: settings.Domain(),
@@ -110,7 +113,7 @@
 		Name: self.Name, Store: e.store, Fleet: e.fleet,
 		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), waits.Boottime),
 		Orders: e.sender, Routes: e.table.Load, First: func() bool { rank, _ := e.others.Rank(); return rank == 0 },
-		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Logger: logger,
+		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.mirror = mirror.New(e.store, e.others, logger, e.kinds()...)
 	return e
@@ -163,6 +166,7 @@
 		{settings.Callers(), handler},
 		{settings.Ready(), handler.Ready()},
 		{settings.Resolver(), handler.Resolver()},
+		{e.adminAddress(settings), e.admin()},
 	} {
 		if l.address == "" {
 			continue
@@ -182,6 +186,15 @@
 	return servers, nil
 }
 
+// adminAddress returns where operators connect, empty for nowhere.
+func (e *Edge) adminAddress(settings *setup.Host) string {
+	ip, _, err := net.SplitHostPort(settings.Peers())
+	if err != nil || e.adminPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(e.adminPort))
+}
+
 // leave is the planned stop: callers are sent elsewhere, batches are handed on,
 // and connections are closed once no caller can hold this node's address.
 func (e *Edge) leave(servers []*http.Server) {
--- a/edge/storage.go
+++ b/edge/storage.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/currantloft/currantloft/event"
@@ -33,7 +34,7 @@
 
 // NewStorage returns a storage process.
 func NewStorage(settings *setup.Host, logger *zap.Logger) *Storage {
-	return &Storage{settings: settings, logger: logger, store: platform.NewStore(settings.Store(), logger)}
+	return &Storage{settings: settings, logger: logger, store: platform.NewStore(settings.Store(), tally.NoopScope, logger)}
 }
 
 // Run answers requests to empty the host until the context ends.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -198,12 +198,16 @@
 	return states
 }
 
-// Known reports whether the endpoint's entry is there and not draining.
-func (f *Fleet) Known(id string) bool {
+// All returns the states of all endpoints, by id.
+func (f *Fleet) All() []State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e := f.endpoints[id]
-	return e != nil && !e.entry.Draining && (e.goneAt.IsZero() || f.now().Before(e.goneAt))
+	states := make([]State, 0, len(f.endpoints))
+	for _, e := range f.endpoints {
+		states = append(states, e.state(f.now()))
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Entry.ID < states[j].Entry.ID })
+	return states
 }
 
 // Begin notes work that is sent to an endpoint.
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/currantloft/currantloft/event"
@@ -45,6 +49,7 @@
 		Decode func(spec []byte) (model string, version int, err error)
 		// Demand returns the tokens that a model's trainer asked for lately.
 		Demand func(model string) float64
+		Scope  tally.Scope
 		Logger *zap.Logger
 	}
 
@@ -205,6 +210,8 @@
 		Model: load.Want.Model, Version: load.Want.Version, Mode: Retain,
 		Holder: g.parts.Name, Epoch: epoch, Accepted: report.Accepted,
 	})
+	g.parts.Scope.Tagged(map[string]string{"outcome": strings.TrimPrefix(fmt.Sprintf("%T", outcome), "orders.")}).
+		Counter("orders").Inc(1)
 	fields := []zap.Field{
 		zap.String("endpoint", target.ID()), zap.String("model", load.Want.Model),
 		zap.Int("version", load.Want.Version), zap.Uint64("epoch", epoch), zap.Int64("accepted", report.Accepted),
@@ -249,3 +256,26 @@
 		}
 	}
 }
+
+// State describes what a giver knows.
+type State struct {
+	// Named are the versions that trainers have named.
+	Named map[string]int `json:"named"`
+	// Loading are the endpoints that carry out an order of this node.
+	Loading []string `json:"loading"`
+	// Epoch is the last epoch that was seen; Held says that it is this node's.
+	Epoch uint64 `json:"epoch"`
+	Held  bool   `json:"held"`
+}
+
+// Dump describes the giver.
+func (g *Giver) Dump() State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := State{Named: maps.Clone(g.named)}
+	state.Epoch, state.Held = g.parts.Lease.Held()
+	for id := range g.loading {
+		state.Loading = append(state.Loading, id)
+	}
+	return state
+}
