--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -268,7 +269,7 @@
 			continue
 		}
 		interval := max(listInterval, time.Duration(len(k.parts.Peers.Staying()))*listPerNode)
-		if now.Sub(listed) > interval {
+		if now.Sub(listed) > interval && slices.Contains(k.parts.Peers.Keepers(), k.parts.Name) {
 			fresh := object.Stale
 			if listed.IsZero() {
 				fresh = object.Fresh
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -115,7 +115,7 @@
 		Orders: e.sender, Routes: e.table.Load, First: func() bool { rank, _ := e.others.Rank(); return rank == 0 },
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
-	e.mirror = mirror.New(e.store, e.others, logger, e.kinds()...)
+	e.mirror = mirror.New(e.store, e.others, settings.ConfigBound(), logger, e.kinds()...)
 	return e
 }
 
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -21,7 +21,7 @@
 			}
 		}},
 		{Name: platform.KindEndpoints, Apply: e.applyEndpoint},
-		{Name: platform.KindVersions, Apply: func(change object.Change, _ bool) {
+		{Name: platform.KindVersions, Rare: true, Apply: func(change object.Change, _ bool) {
 			if !change.Removed {
 				e.giver.Name(change.Entry)
 			}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -29,9 +29,12 @@
 )
 
 const (
-	// baseSlot is the pause between two lists in a small fleet. A change must be
-	// in force within two seconds.
-	baseSlot = 700 * time.Millisecond
+	// slotShare is the pause between two lists in a small fleet, as a share of the
+	// time in which a change must be in force.
+	slotShare = 0.35
+	// rareEvery is how many lists of the other kinds come before one of a kind that
+	// has no such bound.
+	rareEvery = 3
 	// perNode stretches the pause, since each list is followed by a message to
 	// every node.
 	perNode = 8 * time.Millisecond
@@ -40,9 +43,9 @@
 	// some ten milliseconds.
 	backup     = 1.5
 	backupStep = 80 * time.Millisecond
-	// maxQuiet is how long a node goes without news at most, since it may be the
-	// only one that the others don't reach.
-	maxQuiet = 1600 * time.Millisecond
+	// quietShare is how long a node goes without news at most, as a share of the
+	// same time, since it may be the only one that the others don't reach.
+	quietShare = 0.8
 	// watchWait is how long a watch waits.
 	watchWait = 8 * time.Second
 	// watchPause is the pause after a watch that failed.
@@ -61,6 +64,8 @@
 		Name string
 		// Apply takes a change. Away says that the store was out of reach lately.
 		Apply func(change object.Change, away bool)
+		// Rare kinds may be listed less often.
+		Rare bool
 	}
 
 	// News is what one node passes on to the others.
@@ -85,6 +90,8 @@
 	Mirror struct {
 		store  object.Store
 		fleet  Fleet
+		bound  time.Duration
+		lists  int
 		logger *zap.Logger
 
 		mu    sync.Mutex
@@ -105,10 +112,11 @@
 	}
 )
 
-// New returns a mirror of the kinds.
-func New(store object.Store, fleet Fleet, logger *zap.Logger, kinds ...Kind) *Mirror {
+// New returns a mirror of the kinds; bound is the time in which a change must be
+// known everywhere.
+func New(store object.Store, fleet Fleet, bound time.Duration, logger *zap.Logger, kinds ...Kind) *Mirror {
 	m := &Mirror{
-		store: store, fleet: fleet, logger: logger, kinds: make(map[string]*copied), heard: make(chan struct{}, 1),
+		store: store, fleet: fleet, bound: bound, logger: logger, kinds: make(map[string]*copied), heard: make(chan struct{}, 1),
 	}
 	for _, kind := range kinds {
 		m.kinds[kind.Name] = &copied{kind: kind, revisions: make(map[string]uint64), gone: make(map[string]uint64)}
@@ -128,12 +136,12 @@
 }
 
 // Pause returns how long a node of the given rank waits for news before it lists.
-func Pause(rank, nodes int) time.Duration {
-	slot := baseSlot + time.Duration(nodes)*perNode
+func Pause(bound time.Duration, rank, nodes int) time.Duration {
+	slot := time.Duration(slotShare*float64(bound)) + time.Duration(nodes)*perNode
 	if rank == 0 {
 		return slot
 	}
-	return min(maxQuiet, time.Duration(float64(slot)*backup)+time.Duration(rank-1)*backupStep)
+	return min(time.Duration(quietShare*float64(bound)), time.Duration(float64(slot)*backup)+time.Duration(rank-1)*backupStep)
 }
 
 // listLoop lists whenever there was no news for too long.
@@ -147,7 +155,7 @@
 		}
 		for ctx.Err() == nil {
 			rank, nodes := m.fleet.Rank()
-			pause := Pause(rank, nodes)
+			pause := Pause(m.bound, rank, nodes)
 			if failures > 0 {
 				pause = min(maxPause, watchPause<<min(failures, 4))
 			}
@@ -172,7 +180,11 @@
 func (m *Mirror) list(ctx context.Context) bool {
 	away := m.away()
 	news := make([]News, 0, len(m.order))
+	m.lists++
 	for _, kind := range m.order {
+		if m.kinds[kind].kind.Rare && m.kinds[kind].at > 0 && m.lists%rareEvery != 0 {
+			continue
+		}
 		entries, at, err := m.store.List(ctx, kind, object.Fresh)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -257,7 +269,7 @@
 	for ctx.Err() == nil {
 		if rank, nodes := m.fleet.Rank(); rank > 0 {
 			revision = 0
-			_ = waits.For(ctx, Pause(0, nodes))
+			_ = waits.For(ctx, Pause(m.bound, 0, nodes))
 			continue
 		}
 		if revision == 0 {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -91,7 +91,7 @@
 	for rank := range 2 {
 		s := newSeen()
 		all = append(all, s)
-		g.mirrors = append(g.mirrors, New(store, seat{g, rank}, zap.NewNop(), Kind{Name: kind, Apply: s.apply}))
+		g.mirrors = append(g.mirrors, New(store, seat{g, rank}, bound, zap.NewNop(), Kind{Name: kind, Apply: s.apply}))
 	}
 	for _, m := range g.mirrors {
 		running.Go(func() { _ = m.Run(ctx) })
@@ -167,7 +167,7 @@
 func TestPause(t *testing.T) {
 	for _, nodes := range []int{1, 8, 76} {
 		for rank := range nodes {
-			if pause := Pause(rank, nodes); pause > bound {
+			if pause := Pause(bound, rank, nodes); pause > bound {
 				t.Errorf("node %d of %d lists after %v only", rank, nodes, pause)
 			}
 		}
@@ -183,7 +183,7 @@
 	s.SetFaults(shelf.Faults{Refuse: true})
 	before := s.Calls()
 	node := newSeen()
-	m := New(s, seat{&group{}, 1}, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
+	m := New(s, seat{&group{}, 1}, bound, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer running.Wait()
@@ -204,7 +204,7 @@
 
 func TestOldNewsChangesNothing(t *testing.T) {
 	node := newSeen()
-	m := New(shelf.New(), seat{&group{}, 1}, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
+	m := New(shelf.New(), seat{&group{}, 1}, bound, zap.NewNop(), Kind{Name: kind, Apply: node.apply})
 	entry := func(revision uint64, spec string) object.Entry {
 		return object.Entry{Name: "main", Revision: revision, Spec: []byte(spec)}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -53,9 +53,6 @@
 	// told of, in a small fleet; listPerNode stretches it in a large one.
 	listInterval = 6 * time.Second
 	listPerNode  = 300 * time.Millisecond
-	// firstList is the pause after the first list at start, doubled each time
-	// until listInterval is reached: all nodes may start at once.
-	firstList = 200 * time.Millisecond
 	// settleTime is how long after its registration a node may still lack others.
 	settleTime = 700 * time.Millisecond
 	// registerPause is the pause between two tries to register.
@@ -116,8 +113,13 @@
 // Run registers the node and keeps the roster until the context ends.
 func (r *Roster) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { r.register(ctx); return nil })
-	group.Go(func() error { r.helloLoop(ctx); return nil })
+	// Of two nodes the one that lists after the other's registration finds it and
+	// says hello, so that one list after the own registration is enough.
+	group.Go(func() error {
+		r.register(ctx)
+		r.helloLoop(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -266,22 +268,19 @@
 }
 
 func (r *Roster) helloLoop(ctx context.Context) {
-	next, pause, read := time.Time{}, firstList, object.Fresh
+	next, read := time.Time{}, object.Fresh
 	for ctx.Err() == nil {
 		if now := time.Now(); !now.Before(next) {
 			if err := r.list(ctx, read); err != nil {
 				event.HostListFailed.Log(r.logger, zap.Error(err))
 				next = now.Add(helloInterval)
 			} else {
-				next = now.Add(pause)
-				pause *= 2
-				if most := max(listInterval, time.Duration(len(r.all()))*listPerNode); pause > most {
-					pause, read = most, object.Stale
-				}
+				next = now.Add(max(listInterval, time.Duration(len(r.all()))*listPerNode))
+				read = object.Stale
 			}
 		}
 		r.hello(ctx, r.due())
-		if waits.For(ctx, min(helloInterval, pause)) != nil {
+		if waits.For(ctx, helloInterval) != nil {
 			return
 		}
 	}
--- a/setup/host.go
+++ b/setup/host.go
@@ -28,6 +28,8 @@
 		Grace time.Duration
 		// Lease and Thaw are how long the next giver of orders must wait.
 		Lease, Thaw time.Duration
+		// ConfigBound is how soon a configuration must be in force everywhere.
+		ConfigBound time.Duration
 		// Cancel is how soon an ended batch must be at rest.
 		Cancel time.Duration
 		// Keep is how long results of a batch can be read.
@@ -92,6 +94,9 @@
 // Thaw returns what a new holder of a lease waits beyond its end.
 func (h *Host) Thaw() time.Duration { return h.parts.Thaw }
 
+// ConfigBound returns how soon a configuration must be in force everywhere.
+func (h *Host) ConfigBound() time.Duration { return h.parts.ConfigBound }
+
 // Cancel returns how soon an ended batch must be at rest.
 func (h *Host) Cancel() time.Duration { return h.parts.Cancel }
 
