perf(batch): short items fill half of an engine

Cause: a step is as long as its longest items, and a full engine is a twelfth slower for them; short items can wait for each other. The plan test for a resumed single-version item used an engine that is now closed to short items; it asks the same of one that has room.

--- a/batch/plan.go
+++ b/batch/plan.go
@@ -20,6 +20,10 @@
 	// long: a full engine is a twelfth slower, and the longest items decide when a
 	// step ends.
 	crowdShare = 0.8
+	// shortEvents is below how many events an item is short, shortShare what such
+	// items fill: they can wait for each other and still end long before the step.
+	shortEvents = 20
+	shortShare  = 0.5
 	// homeWorth is what reading a prompt once more costs: a thousand tokens at 300
 	// a millisecond, and the same again for those that wait behind it.
 	homeWorth = 7 * time.Millisecond
@@ -211,7 +215,7 @@
 	best, bestCost := -1, time.Duration(0)
 	for i := range seats {
 		s := &seats[i]
-		crowded := w.Events < longEvents && float64(s.state.Busy()) >= crowdShare*float64(s.state.Entry.Slots)
+		crowded := float64(s.state.Busy()) >= fill(w.Events)*float64(s.state.Entry.Slots)
 		if s.free <= 0 || crowded || s.state.Paused || s.state.Loading || !fits(w, s.state.Entry) {
 			continue
 		}
@@ -233,6 +237,18 @@
 	return best
 }
 
+// fill returns the share of an engine's slots that an item may fill.
+func fill(events int) float64 {
+	switch {
+	case events >= longEvents:
+		return 1
+	case events >= shortEvents:
+		return crowdShare
+	default:
+		return shortShare
+	}
+}
+
 // fits reports whether an endpoint's weights may generate for the item.
 func fits(w Waiting, entry fleet.Entry) bool {
 	version, ok := entry.Versions[w.Model]
