feat(batch): batches that nobody may read any more are removed

Cause: nothing of ours expires by itself; at the target size heads, chunks and bodies would fill the store. The first node removes ended batches a minute after status_s, the head last.

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -111,6 +111,10 @@
 		Fleet       *fleet.Fleet
 		Engine      Engine
 		Peers       Peers
+		// First reports whether this node has the duties of one node.
+		First func() bool
+		// Keep is for how long results can be read.
+		Keep time.Duration
 		// Routes returns the configuration in force, nil before the first one.
 		Routes func() *routes.Table
 		// Decode reads a submission as it came.
@@ -160,6 +164,7 @@
 	k.tasks.Go(k.scheduleLoop)
 	k.tasks.Go(k.sweepLoop)
 	k.tasks.Go(k.backupLoop)
+	k.tasks.Go(k.cleanLoop)
 	return k
 }
 
@@ -406,54 +411,3 @@
 	default:
 	}
 }
-
-// Leave makes others take over: runs stop, what they have generated goes to the
-// nodes that go on with it, and the batches are handed on once all results last
-// or the context ends.
-func (k *Keeper) Leave(ctx context.Context) {
-	k.mu.Lock()
-	k.leaving = true
-	k.mu.Unlock()
-	k.backup(ctx)
-	k.mu.Lock()
-	for _, j := range k.jobs {
-		k.stopRuns(j)
-	}
-	k.mu.Unlock()
-	ticker := time.NewTicker(leavePoll)
-	defer ticker.Stop()
-	for k.busy() && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
-	}
-	k.mu.Lock()
-	var handed []Head
-	for id, j := range k.jobs {
-		if h := k.heads[id]; h != nil && !h.ended {
-			h.handed = true
-			handed = append(handed, j.head)
-		}
-	}
-	k.mu.Unlock()
-	for _, head := range handed {
-		event.BatchHanded.Log(k.parts.Logger, zap.String("batch", head.ID))
-		k.parts.Peers.Tell(Notice{Head: head, Handed: true})
-	}
-}
-
-// leavePoll is how often a leaving node looks whether its work has ended.
-const leavePoll = 50 * time.Millisecond
-
-// busy reports whether items run or results wait to last.
-func (k *Keeper) busy() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for _, j := range k.jobs {
-		if len(j.running) > 0 || (j.book.Pending() > 0 && !j.book.Ended()) {
-			return true
-		}
-	}
-	return false
-}
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -164,7 +164,7 @@
 	}}, nil, routes.Limits{})
 	k := New(Parts{
 		Name: name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
-		Peers: member{r, name}, Routes: func() *routes.Table { return table }, Decode: decodeTest,
+		Peers: member{r, name}, First: func() bool { return true }, Keep: time.Minute, Routes: func() *routes.Table { return table }, Decode: decodeTest,
 		Scope: tally.NoopScope, Logger: zap.NewNop(),
 	})
 	r.mu.Lock()
@@ -309,6 +309,27 @@
 	checkEqual(t, "its error", err, nil)
 }
 
+func TestOldBatchesAreRemoved(t *testing.T) {
+	r, store := newRing(), shelf.New()
+	k := newKeeper(t, r, store, &instant{held: make(map[string]chan struct{})}, "a")
+	k.Accept(t.Context(), submissionOf(t, "s", "i0", "i1"))
+	readUntil(t, k, "s", 1)
+	k.clean(t.Context(), time.Now().Add(time.Hour))
+	checkEqual(t, "an open batch stays", store.Names(kindHeads), []string{"s"})
+	if err := k.End(t.Context(), "s"); err != nil {
+		t.Fatal(err)
+	}
+	k.clean(t.Context(), time.Now().Add(time.Minute))
+	checkEqual(t, "a young one stays", store.Names(kindHeads), []string{"s"})
+	k.clean(t.Context(), time.Now().Add(time.Hour))
+	for _, kind := range []string{kindHeads, kindBodies, kindChunks, kindEnds} {
+		checkEqual(t, kind, store.Names(kind), []string{})
+	}
+	if _, err := k.Read(t.Context(), "s", 0, 0); !errors.Is(err, ErrUnknown) {
+		t.Errorf("a removed batch: %v", err)
+	}
+}
+
 func TestEndStopsAndLasts(t *testing.T) {
 	r, store := newRing(), shelf.New()
 	engine := &instant{held: make(map[string]chan struct{})}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -106,13 +106,13 @@
 	e.relay = relay.New(e.fleet, e.sender, settings.Domain(), e.meter.Scope(), logger)
 	e.keeper = batch.New(batch.Parts{
 		Name: self.Name, Incarnation: self.Incarnation, Store: e.store, ValueBytes: settings.StoreValueBytes(),
-		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: e.others, Routes: e.table.Load,
+		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: e.others, First: e.first, Keep: settings.Keep(), Routes: e.table.Load,
 		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.giver = orders.New(orders.Parts{
 		Name: self.Name, Store: e.store, Fleet: e.fleet,
 		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), waits.Boottime),
-		Orders: e.sender, Routes: e.table.Load, First: func() bool { rank, _ := e.others.Rank(); return rank == 0 },
+		Orders: e.sender, Routes: e.table.Load, First: e.first,
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.mirror = mirror.New(e.store, e.others, settings.ConfigBound(), logger, e.kinds()...)
@@ -231,6 +231,12 @@
 	event.Settings.Log(e.logger, zap.Duration("grace", settings.Grace()), zap.Duration("lease", settings.Lease()))
 }
 
+// first reports whether this node has the duties of one node.
+func (e *Edge) first() bool {
+	rank, _ := e.others.Rank()
+	return rank == 0
+}
+
 // Ready reports whether the node wants requests.
 func (e *Edge) Ready() bool { return !e.leaving.Load() && e.table.Load() != nil }
 
--- a/event/event.go
+++ b/event/event.go
@@ -110,6 +110,8 @@
 	ItemRunFailed       = define(874, "item_run_failed", zapcore.InfoLevel)
 	ItemGivenUp         = define(875, "item_given_up", zapcore.WarnLevel)
 	BatchRests          = define(878, "batch_goes_on_from_before", zapcore.InfoLevel)
+	BatchCleaned        = define(890, "batch_removed", zapcore.InfoLevel)
+	BatchCleanFailed    = define(891, "batch_not_removed", zapcore.WarnLevel)
 	ItemMoved           = define(877, "item_moved", zapcore.DebugLevel)
 	ItemDone            = define(876, "item_done", zapcore.DebugLevel)
 
--- a/fakes/shelf/shelf.go
+++ b/fakes/shelf/shelf.go
@@ -236,7 +236,7 @@
 	_, err := s.write(ctx, func() (object.Entry, error) {
 		found, ok := s.objects[kind][name]
 		if !ok {
-			return object.Entry{}, nil
+			return object.Entry{}, object.ErrNotFound
 		}
 		s.revision++
 		found.Revision = s.revision
--- a/object/store.go
+++ b/object/store.go
@@ -67,7 +67,7 @@
 		Replace(ctx context.Context, kind, name string, spec []byte, revision uint64) (Entry, error)
 		// SetStatus writes an object's status.
 		SetStatus(ctx context.Context, kind, name string, status []byte) error
-		// Delete removes an object; a missing one is no error.
+		// Delete removes an object, or returns ErrNotFound.
 		Delete(ctx context.Context, kind, name string) error
 	}
 
