--- a/batch/batch.go
+++ b/batch/batch.go
@@ -28,12 +28,10 @@
 		Group  string
 		Header http.Header
 		Body   []byte
-		// Tokens is the sum of the prompt's tokens and the most output tokens.
-		Tokens int
+		// Prompt is how many tokens its prompt has.
+		Prompt int
 		// Length is the caller's estimate of the output's tokens, 0 if unknown.
 		Length int
-		// Prefix names the part of the prompt that the group shares.
-		Prefix string
 	}
 
 	// Submission is a batch as a trainer hands it in.
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -27,6 +27,13 @@
 	// homeWorth is what reading a prompt once more costs: a thousand tokens at 300
 	// a millisecond, and the same again for those that wait behind it.
 	homeWorth = 7 * time.Millisecond
+	// contextCost is what a thousand tokens in an engine's memory add to the time
+	// of one event: the users' engines take half a microsecond a step for them.
+	contextCost = 25 * time.Microsecond
+	// memoryShare is how full an engine's memory may be expected to get; beyond
+	// that the newest request is put back and read again, memoryCost.
+	memoryShare = 0.9
+	memoryCost  = 1500 * time.Millisecond
 	// avoidCost ranks the endpoint where an item just failed behind the others.
 	avoidCost = 2 * time.Second
 	// longEvents is from how many events on an item is worth the newest weights:
@@ -57,6 +64,8 @@
 		Only int
 		// Events is the estimate of how many events are left.
 		Events int
+		// Tokens is the estimate of what it takes of an engine's memory in the end.
+		Tokens int
 		// Due is when its batch's results are due.
 		Due time.Time
 		// Avoid is the endpoint where it failed last.
@@ -69,6 +78,14 @@
 		Target fleet.Target
 	}
 
+	// Memory is what is known of the engines' memory, in tokens.
+	Memory struct {
+		// Capacity is an engine's memory, 0 if it isn't told.
+		Capacity int
+		// Used is what the items that run at an engine will take in the end, by id.
+		Used map[string]int
+	}
+
 	// Homes remembers where groups run, so that a shared prompt is read once.
 	Homes map[string]string
 
@@ -87,6 +104,7 @@
 		state fleet.State
 		free  int
 		pace  time.Duration
+		used  int
 	}
 )
 
@@ -99,17 +117,18 @@
 // Load pattern: a step's items come all at once, a few are several times as
 // long as the others, engines hardly slow down as they fill, and one engine in
 // five runs several times slower for some seconds.
-func Plan(waiting []Waiting, states []fleet.State, homes Homes) []Placement {
-	seats := seatsOf(states)
+func Plan(waiting []Waiting, states []fleet.State, memory Memory, homes Homes) []Placement {
+	seats := seatsOf(states, memory)
 	var placed []Placement
 	for _, i := range orderOf(waiting) {
 		w := waiting[i]
-		best := choose(w, seats, homes[w.Batch+"/"+w.Group])
+		best := choose(w, seats, memory.Capacity, homes[w.Batch+"/"+w.Group])
 		if best < 0 {
 			continue
 		}
 		s := &seats[best]
 		s.free--
+		s.used += w.Tokens
 		s.state.Mine++
 		homes[w.Batch+"/"+w.Group] = s.state.Entry.ID
 		placed = append(placed, Placement{Index: w.Index, Target: s.state.Target()})
@@ -121,8 +140,8 @@
 //
 // Load pattern: an endpoint turns slow while long items run on it, or an item
 // that looked short, and so was put on a slow endpoint, turns out to be long.
-func Moves(running []Running, states []fleet.State) []int {
-	seats := seatsOf(states)
+func Moves(running []Running, states []fleet.State, memory Memory) []int {
+	seats := seatsOf(states, memory)
 	at := make(map[string]*seat, len(seats))
 	for i := range seats {
 		at[seats[i].state.Entry.ID] = &seats[i]
@@ -134,13 +153,14 @@
 			continue
 		}
 		r.Avoid = r.Endpoint
-		best := choose(r.Waiting, seats, "")
+		best := choose(r.Waiting, seats, memory.Capacity, "")
 		if best < 0 || seats[best].state.Entry.ID == r.Endpoint {
 			continue
 		}
 		gain := time.Duration(r.left()) * (here.pace - seats[best].pace)
 		if gain > moveCost+moveCost/2*time.Duration(r.Done)/usualStride {
 			seats[best].free--
+			seats[best].used += r.Tokens
 			moves = append(moves, r.Index)
 		}
 	}
@@ -151,7 +171,7 @@
 // is expected to go on for half of what it has.
 func (r Running) left() int { return max(r.Events, r.Done/2) }
 
-func seatsOf(states []fleet.State) []seat {
+func seatsOf(states []fleet.State, memory Memory) []seat {
 	usual := medianPace(states)
 	seats := make([]seat, 0, len(states))
 	for _, s := range states {
@@ -159,7 +179,7 @@
 		if pace == 0 {
 			pace = usual
 		}
-		seats = append(seats, seat{state: s, free: s.Entry.Slots - s.Busy(), pace: pace})
+		seats = append(seats, seat{state: s, free: s.Entry.Slots - s.Busy(), pace: pace, used: memory.Used[s.Entry.ID]})
 	}
 	return seats
 }
@@ -207,7 +227,7 @@
 }
 
 // choose returns the seat where an item is expected to end first, -1 for none.
-func choose(w Waiting, seats []seat, home string) int {
+func choose(w Waiting, seats []seat, capacity int, home string) int {
 	newest := 0
 	for i := range seats {
 		newest = max(newest, seats[i].state.Entry.Versions[w.Model])
@@ -221,6 +241,10 @@
 		}
 		crowd := 1 + perRunning*float64(s.state.Busy())
 		cost := time.Duration(float64(max(1, w.Events)) * float64(s.pace) * crowd)
+		cost += time.Duration(w.Events*s.used/1000) * contextCost
+		if capacity > 0 && float64(s.used+w.Tokens) > memoryShare*float64(capacity) {
+			cost += memoryCost
+		}
 		if s.state.Entry.ID != home {
 			cost += homeWorth
 		}
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -28,7 +28,7 @@
 // placements returns where each item goes, by index.
 func placements(waiting []Waiting, states []fleet.State) map[int]string {
 	at := make(map[int]string)
-	for _, p := range Plan(waiting, states, make(Homes)) {
+	for _, p := range Plan(waiting, states, Memory{}, make(Homes)) {
 		at[p.Index] = p.Target.ID()
 	}
 	return at
@@ -89,28 +89,47 @@
 		engineState("slow", 2, 1, 130*time.Millisecond), engineState("fast", 2, 0, 40*time.Millisecond),
 	}
 	t.Run("a long item leaves a slow endpoint", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, states), []int{7})
+		checkEqual(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, states, Memory{}), []int{7})
 	})
 	t.Run("one that is nearly done stays", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(1, 2, 2*time.Second)}, states), nil)
+		checkEqual(t, "moves", Moves([]Running{runningItem(1, 2, 2*time.Second)}, states, Memory{}), nil)
 	})
 	t.Run("one that has just come stays", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(80, 0, 100*time.Millisecond)}, states), nil)
+		checkEqual(t, "moves", Moves([]Running{runningItem(80, 0, 100*time.Millisecond)}, states, Memory{}), nil)
 	})
 	t.Run("one that has outrun its estimate goes", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(0, 60, 6*time.Second)}, states), []int{7})
+		checkEqual(t, "moves", Moves([]Running{runningItem(0, 60, 6*time.Second)}, states, Memory{}), []int{7})
 	})
 	t.Run("no place, no move", func(t *testing.T) {
 		full := []fleet.State{states[0], engineState("fast", 2, testSlots, 40*time.Millisecond)}
-		checkEqual(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, full), nil)
+		checkEqual(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, full, Memory{}), nil)
 	})
 }
 
+// TestPlanSpreadsMemory places long items on engines whose memory holds two.
+func TestPlanSpreadsMemory(t *testing.T) {
+	var waiting []Waiting
+	for i := range 6 {
+		w := waitingItem(i, string(rune('a'+i)), 150)
+		w.Tokens = 11000
+		waiting = append(waiting, w)
+	}
+	states := []fleet.State{
+		engineState("one", 2, 0, 40*time.Millisecond), engineState("two", 2, 0, 40*time.Millisecond),
+		engineState("three", 2, 0, 43*time.Millisecond),
+	}
+	used := make(map[string]int)
+	for _, p := range Plan(waiting, states, Memory{Capacity: 32560}, make(Homes)) {
+		used[p.Target.ID()]++
+	}
+	checkEqual(t, "items at each engine", used, map[string]int{"one": 2, "two": 2, "three": 2})
+}
+
 // TestPlanOfAStep replays the load of a trainer's step: 27 groups of 4 at once,
 // one item in twelve five times as long, one engine in five three times slower.
 // A random placement in order of arrival is the baseline.
 func TestPlanOfAStep(t *testing.T) {
-	chosen := stepTime(func(w []Waiting, s []fleet.State) []Placement { return Plan(w, s, make(Homes)) })
+	chosen := stepTime(func(w []Waiting, s []fleet.State) []Placement { return Plan(w, s, Memory{}, make(Homes)) })
 	baseline := stepTime(inOrder)
 	t.Logf("groups waited for are whole after %v, in order of arrival after %v", chosen, baseline)
 	if chosen > baseline*9/10 {
--- a/batch/run.go
+++ b/batch/run.go
@@ -107,7 +107,7 @@
 	k.move(now)
 	for service, list := range waiting {
 		states := k.parts.Fleet.Serving(service)
-		for _, p := range Plan(list, states, k.homes) {
+		for _, p := range Plan(list, states, k.memory(service), k.homes) {
 			k.begin(places[p.Index].job, places[p.Index].item, p.Target)
 			left--
 		}
@@ -134,6 +134,23 @@
 	return usualStride
 }
 
+// memory returns what the items that run here will take of a service's engines.
+// The caller holds the lock.
+func (k *Keeper) memory(service string) Memory {
+	m := Memory{Used: make(map[string]int)}
+	if table := k.parts.Routes(); table != nil {
+		s, _ := table.Service(service)
+		m.Capacity = s.CacheTokens
+	}
+	stride := k.strideOf(service)
+	for _, j := range k.jobs {
+		for i, r := range j.running {
+			m.Used[r.target.ID()] += waitingOf(j, i, 0, stride).Tokens
+		}
+	}
+	return m
+}
+
 // move takes running items to endpoints where they end sooner.
 func (k *Keeper) move(now time.Time) {
 	if now.Sub(k.movedAt) < moveInterval {
@@ -153,7 +170,7 @@
 		}
 	}
 	for service, list := range running {
-		for _, index := range Moves(list, k.parts.Fleet.Serving(service)) {
+		for _, index := range Moves(list, k.parts.Fleet.Serving(service), k.memory(service)) {
 			p := places[index]
 			r := p.job.running[p.item]
 			r.moved = true
@@ -183,9 +200,10 @@
 
 func waitingOf(j *job, i, index, stride int) Waiting {
 	it, state := &j.sub.Items[i], &j.items[i]
+	left := max(0, it.Length/stride-len(state.texts))
 	w := Waiting{
 		Index: index, Batch: j.head.ID, Group: it.Group, Model: j.sub.Model, MinVersion: j.sub.MinVersion,
-		Events: max(0, it.Length/stride-len(state.texts)), Due: j.due(), Avoid: state.avoid,
+		Events: left, Tokens: it.Prompt + stride*(left+len(state.texts)), Due: j.due(), Avoid: state.avoid,
 	}
 	if j.route.SingleVersion && len(state.versions) == 1 {
 		w.Only = state.versions[0]
