fix(roster,batch): clocks that go back, clocks that differ

Cause, by reading: a node whose clock went back before it started again had a lower start number, and others kept the dead one (TestNodesFindEachOther fails without the fix: eight nodes lacked it); an item's time in the queue was judged by the keeper's clock alone, up to 5 s ahead of the one that took the batch, which would list an errored item too early. Idle connections of callers are kept for 90 s, not 20, since a configuration may allow more than that.

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -39,6 +39,9 @@
 	pauseLimit = sweepInterval + time.Second
 	// openLife is for how long a batch whose route is unknown is worked on.
 	openLife = 40 * time.Second
+	// clockSkew is by how much the clocks of two hosts may differ; the platform's
+	// bound for it is 5 or 6 s.
+	clockSkew = 6 * time.Second
 	// pageBytes is the most text in one page of results, in bytes: readers take
 	// 1 MB of JSON.
 	pageBytes = 700 << 10
@@ -359,7 +362,7 @@
 func (k *Keeper) life(head Head) time.Duration {
 	if table := k.parts.Routes(); table != nil {
 		if route, ok := table.Match(head.Host, head.Path); ok && route.MaxQueue > 0 {
-			return route.MaxQueue
+			return route.MaxQueue + clockSkew
 		}
 	}
 	return openLife
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -330,6 +330,22 @@
 	}
 }
 
+// TestItemsAreGivenUpByEveryClock gives no item up while its time may not be over
+// by the clock of the host that took the batch.
+func TestItemsAreGivenUpByEveryClock(t *testing.T) {
+	k := newKeeper(t, newRing(), shelf.New(), &instant{held: make(map[string]chan struct{})}, "a")
+	now := time.Now()
+	for age, want := range map[time.Duration]bool{
+		time.Minute: false, time.Minute + clockSkew - time.Second: false, time.Minute + clockSkew: true,
+	} {
+		head := Head{ID: "s", Host: "h", Path: "/b/x", AcceptedMs: now.Add(-age).UnixMilli()}
+		k.mu.Lock()
+		got := k.expired(k.newJob(head, submissionOf(t, "s", "i0")), 0, now)
+		k.mu.Unlock()
+		checkEqual(t, fmt.Sprintf("given up after %v", age), got, want)
+	}
+}
+
 func TestEndStopsAndLasts(t *testing.T) {
 	r, store := newRing(), shelf.New()
 	engine := &instant{held: make(map[string]chan struct{})}
--- a/batch/run.go
+++ b/batch/run.go
@@ -182,9 +182,9 @@
 	}
 }
 
-// expired gives an item up whose time in the queue is over.
+// expired gives an item up whose time in the queue is over by every clock.
 func (k *Keeper) expired(j *job, i int, now time.Time) bool {
-	if j.route.MaxQueue <= 0 || j.head.Age(now) < j.route.MaxQueue {
+	if j.route.MaxQueue <= 0 || j.head.Age(now) < j.route.MaxQueue+clockSkew {
 		return false
 	}
 	k.giveUp(j, i, "its time in the queue is over")
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,9 +52,10 @@
 	memoryShare = 0.7
 	// thousandths turns cores into what hosts tell of themselves.
 	thousandths = 1000
-	// idleTimeout is how long an idle connection of a caller is kept; the
-	// configuration's own limit is 15 s.
-	idleTimeout = 20 * time.Second
+	// idleTimeout is how long an idle connection of a caller is kept: callers use
+	// one again after up to four fifths of the configuration's limit, 15 s on the
+	// users' sites, so that closing sooner would break requests off.
+	idleTimeout = 90 * time.Second
 	// headerTimeout is how long a caller may take to send its headers.
 	headerTimeout = 5 * time.Second
 )
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -290,13 +290,17 @@
 		return
 	}
 	p := r.hosts[h.Name]
-	if p != nil && p.host.Incarnation >= h.Incarnation {
-		return
+	switch {
+	case p == nil || p.host.Incarnation < h.Incarnation:
+		r.hosts[h.Name] = &peer{host: h, heard: time.Now()}
+	case p.host.Incarnation > h.Incarnation:
+		// The host's clock may have gone back before its last start: only the node
+		// itself can tell.
+		p.known = false
 	}
-	r.hosts[h.Name] = &peer{host: h, heard: time.Now()}
 }
 
-// Heard notes a hello or its answer from the node itself.
+// heard notes a hello or its answer from the node itself.
 func (r *Roster) heard(info *wirepb.HostInfo) {
 	if info.GetName() == "" {
 		return
@@ -308,9 +312,6 @@
 	}
 	h := hostOf(info)
 	p := r.hosts[h.Name]
-	if p != nil && p.host.Incarnation > h.Incarnation {
-		return
-	}
 	if p != nil && p.dead {
 		r.lostAt = time.Now()
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -108,6 +108,14 @@
 			t.Error("the starts are mixed up")
 		}
 	})
+	t.Run("its clock went back before it started again", func(t *testing.T) {
+		nodes[4].stop()
+		nodes[4] = start(whole, store, "n4", 1)
+		for _, n := range nodes {
+			await(t, n.Self().Name+" knows the last start", func() bool { return n.Alive("n4", 1) })
+		}
+		awaitNodes(t, nodes, 9)
+	})
 	t.Run("one that leaves stays alive", func(t *testing.T) {
 		nodes[2].Leave(t.Context())
 		for _, n := range nodes {
