--- a/batch/book_test.go
+++ b/batch/book_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
+
+	"github.com/currantloft/currantloft/fakes/check"
 )
 
 // itemsOf returns so many items in groups of the given size.
@@ -17,26 +19,19 @@
 	return items
 }
 
-func checkEqual[T any](t *testing.T, what string, got, want T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("%s (-want +got):\n%s", what, diff)
-	}
-}
-
 func TestBookShowsOnlyWhatLasts(t *testing.T) {
 	b := NewBook(itemsOf(4, 2))
 	b.Finish(Result{Item: "i0", Text: "a"})
-	checkEqual(t, "page before the commit", b.Page(0, 1000), Page{Total: 4})
+	check.Equal(t, "page before the commit", b.Page(0, 1000), Page{Total: 4})
 	b.Commit(b.Next(1000))
-	checkEqual(t, "page after it", b.Page(0, 1000), Page{Total: 4, Next: 1, Results: []Result{{Item: "i0", Text: "a"}}})
+	check.Equal(t, "page after it", b.Page(0, 1000), Page{Total: 4, Next: 1, Results: []Result{{Item: "i0", Text: "a"}}})
 }
 
 func TestBookTakesTheFirstResultOnly(t *testing.T) {
 	b := NewBook(itemsOf(2, 2))
-	checkEqual(t, "first", b.Finish(Result{Item: "i0", Text: "a"}), true)
-	checkEqual(t, "second", b.Finish(Result{Item: "i0", Text: "b"}), false)
-	checkEqual(t, "of another batch", b.Finish(Result{Item: "x"}), false)
+	check.Equal(t, "first", b.Finish(Result{Item: "i0", Text: "a"}), true)
+	check.Equal(t, "second", b.Finish(Result{Item: "i0", Text: "b"}), false)
+	check.Equal(t, "of another batch", b.Finish(Result{Item: "x"}), false)
 }
 
 func TestBookYieldsToAnotherKeepersChunk(t *testing.T) {
@@ -44,19 +39,19 @@
 	b.Finish(Result{Item: "i0", Text: "mine"})
 	b.Finish(Result{Item: "i1", Text: "mine"})
 	b.Commit([]Result{{Item: "i0", Text: "theirs"}})
-	checkEqual(t, "pending", b.Next(1000), []Result{{Item: "i1", Text: "mine"}})
-	checkEqual(t, "chunks", b.Chunks(), 1)
+	check.Equal(t, "pending", b.Next(1000), []Result{{Item: "i1", Text: "mine"}})
+	check.Equal(t, "chunks", b.Chunks(), 1)
 }
 
 func TestBookCountsWholeGroups(t *testing.T) {
 	b := NewBook(itemsOf(4, 2))
 	b.Finish(Result{Item: "i0"})
-	checkEqual(t, "half a group", b.WholeWithPending(), 0)
+	check.Equal(t, "half a group", b.WholeWithPending(), 0)
 	b.Finish(Result{Item: "i1"})
-	checkEqual(t, "with pending", b.WholeWithPending(), 1)
-	checkEqual(t, "lasting", b.Whole(), 0)
+	check.Equal(t, "with pending", b.WholeWithPending(), 1)
+	check.Equal(t, "lasting", b.Whole(), 0)
 	b.Commit(b.Next(1000))
-	checkEqual(t, "lasting after the commit", b.Whole(), 1)
+	check.Equal(t, "lasting after the commit", b.Whole(), 1)
 }
 
 // chain is the store's side of a batch: chunks that are created once.
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fakes/shelf"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/relay"
@@ -216,9 +217,9 @@
 			t.Fatal("not kept")
 		}
 	}
-	checkEqual(t, "heads", store.Names(kindHeads), []string{"s"})
+	check.Equal(t, "heads", store.Names(kindHeads), []string{"s"})
 	page := readUntil(t, b, "s", 1)
-	checkEqual(t, "total", page.Total, 2)
+	check.Equal(t, "total", page.Total, 2)
 }
 
 func TestAcceptTellsTheTruth(t *testing.T) {
@@ -303,10 +304,10 @@
 	owner.Close()
 	engine.release("i9")
 	after := readUntil(t, other, "s", 9)
-	checkEqual(t, "positions that were read", after.Results[:len(before.Results)], before.Results)
+	check.Equal(t, "positions that were read", after.Results[:len(before.Results)], before.Results)
 	body, err := other.Body(t.Context(), "s", "i3")
-	checkEqual(t, "a body", string(body), "body of i3")
-	checkEqual(t, "its error", err, nil)
+	check.Equal(t, "a body", string(body), "body of i3")
+	check.Equal(t, "its error", err, nil)
 }
 
 func TestOldBatchesAreRemoved(t *testing.T) {
@@ -315,15 +316,15 @@
 	k.Accept(t.Context(), submissionOf(t, "s", "i0", "i1"))
 	readUntil(t, k, "s", 1)
 	k.clean(t.Context(), time.Now().Add(time.Hour))
-	checkEqual(t, "an open batch stays", store.Names(kindHeads), []string{"s"})
+	check.Equal(t, "an open batch stays", store.Names(kindHeads), []string{"s"})
 	if err := k.End(t.Context(), "s"); err != nil {
 		t.Fatal(err)
 	}
 	k.clean(t.Context(), time.Now().Add(time.Minute))
-	checkEqual(t, "a young one stays", store.Names(kindHeads), []string{"s"})
+	check.Equal(t, "a young one stays", store.Names(kindHeads), []string{"s"})
 	k.clean(t.Context(), time.Now().Add(time.Hour))
 	for _, kind := range []string{kindHeads, kindBodies, kindChunks, kindEnds} {
-		checkEqual(t, kind, store.Names(kind), []string{})
+		check.Equal(t, kind, store.Names(kind), []string{})
 	}
 	if _, err := k.Read(t.Context(), "s", 0, 0); !errors.Is(err, ErrUnknown) {
 		t.Errorf("a removed batch: %v", err)
@@ -342,7 +343,7 @@
 		k.mu.Lock()
 		got := k.expired(k.newJob(head, submissionOf(t, "s", "i0")), 0, now)
 		k.mu.Unlock()
-		checkEqual(t, fmt.Sprintf("given up after %v", age), got, want)
+		check.Equal(t, fmt.Sprintf("given up after %v", age), got, want)
 	}
 }
 
@@ -357,7 +358,7 @@
 			t.Fatal(err)
 		}
 	}
-	checkEqual(t, "ends", store.Names(kindEnds), []string{"s"})
+	check.Equal(t, "ends", store.Names(kindEnds), []string{"s"})
 	engine.release("i0")
 	if page, err := a.Read(t.Context(), "s", 0, 300*time.Millisecond); err != nil || len(page.Results) > 0 {
 		t.Errorf("after its end: %v, %v", page, err)
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fakes/shelf"
 	"github.com/currantloft/currantloft/fleet"
 )
@@ -39,25 +40,25 @@
 	t.Run("long items take the fast endpoint", func(t *testing.T) {
 		states := []fleet.State{engineState("fast", 2, testSlots-1, fast), engineState("slow", 2, 0, slow)}
 		got := placements([]Waiting{waitingItem(0, "a", 5), waitingItem(1, "b", 90)}, states)
-		checkEqual(t, "places", got, map[int]string{0: "slow", 1: "fast"})
+		check.Equal(t, "places", got, map[int]string{0: "slow", 1: "fast"})
 	})
 	t.Run("old weights serve nothing", func(t *testing.T) {
 		got := placements([]Waiting{waitingItem(0, "a", 5)}, []fleet.State{engineState("old", 1, 0, fast)})
-		checkEqual(t, "places", got, map[int]string{})
+		check.Equal(t, "places", got, map[int]string{})
 	})
 	t.Run("a full endpoint gets nothing", func(t *testing.T) {
 		got := placements([]Waiting{waitingItem(0, "a", 5)}, []fleet.State{engineState("full", 2, testSlots, fast)})
-		checkEqual(t, "places", got, map[int]string{})
+		check.Equal(t, "places", got, map[int]string{})
 	})
 	t.Run("the last places are for long items", func(t *testing.T) {
 		got := placements([]Waiting{waitingItem(0, "a", 5), waitingItem(1, "b", 90)},
 			[]fleet.State{engineState("one", 2, testSlots-2, fast)})
-		checkEqual(t, "places", got, map[int]string{1: "one"})
+		check.Equal(t, "places", got, map[int]string{1: "one"})
 	})
 	t.Run("short items leave half to others", func(t *testing.T) {
 		got := placements([]Waiting{waitingItem(0, "a", 5), waitingItem(1, "b", 30)},
 			[]fleet.State{engineState("one", 2, testSlots/2, fast)})
-		checkEqual(t, "places", got, map[int]string{1: "one"})
+		check.Equal(t, "places", got, map[int]string{1: "one"})
 	})
 	t.Run("a group stays together", func(t *testing.T) {
 		states := []fleet.State{engineState("one", 2, 0, fast), engineState("two", 2, 0, fast)}
@@ -70,13 +71,13 @@
 		w := waitingItem(0, "a", 5)
 		w.Only = 2
 		got := placements([]Waiting{w}, []fleet.State{engineState("new", 3, 0, fast), engineState("same", 2, 4, slow)})
-		checkEqual(t, "places", got, map[int]string{0: "same"})
+		check.Equal(t, "places", got, map[int]string{0: "same"})
 	})
 	t.Run("an earlier due time goes first", func(t *testing.T) {
 		late, soon := waitingItem(0, "a", 90), waitingItem(1, "b", 70)
 		late.Due, soon.Due = time.UnixMilli(2000), time.UnixMilli(1000)
 		got := placements([]Waiting{late, soon}, []fleet.State{engineState("one", 2, testSlots-1, fast)})
-		checkEqual(t, "places", got, map[int]string{1: "one"})
+		check.Equal(t, "places", got, map[int]string{1: "one"})
 	})
 }
 
@@ -89,20 +90,20 @@
 		engineState("slow", 2, 1, 130*time.Millisecond), engineState("fast", 2, 0, 40*time.Millisecond),
 	}
 	t.Run("a long item leaves a slow endpoint", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, states, Memory{}), []int{7})
+		check.Equal(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, states, Memory{}), []int{7})
 	})
 	t.Run("one that is nearly done stays", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(1, 2, 2*time.Second)}, states, Memory{}), nil)
+		check.Equal(t, "moves", Moves([]Running{runningItem(1, 2, 2*time.Second)}, states, Memory{}), nil)
 	})
 	t.Run("one that has just come stays", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(80, 0, 100*time.Millisecond)}, states, Memory{}), nil)
+		check.Equal(t, "moves", Moves([]Running{runningItem(80, 0, 100*time.Millisecond)}, states, Memory{}), nil)
 	})
 	t.Run("one that has outrun its estimate goes", func(t *testing.T) {
-		checkEqual(t, "moves", Moves([]Running{runningItem(0, 60, 6*time.Second)}, states, Memory{}), []int{7})
+		check.Equal(t, "moves", Moves([]Running{runningItem(0, 60, 6*time.Second)}, states, Memory{}), []int{7})
 	})
 	t.Run("no place, no move", func(t *testing.T) {
 		full := []fleet.State{states[0], engineState("fast", 2, testSlots, 40*time.Millisecond)}
-		checkEqual(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, full, Memory{}), nil)
+		check.Equal(t, "moves", Moves([]Running{runningItem(80, 5, 2*time.Second)}, full, Memory{}), nil)
 	})
 }
 
@@ -122,7 +123,7 @@
 	for _, p := range Plan(waiting, states, Memory{Capacity: 32560}, make(Homes)) {
 		used[p.Target.ID()]++
 	}
-	checkEqual(t, "items at each engine", used, map[string]int{"one": 2, "two": 2, "three": 2})
+	check.Equal(t, "items at each engine", used, map[string]int{"one": 2, "two": 2, "three": 2})
 }
 
 // TestPlanOfAStep replays the load of a trainer's step: 27 groups of 4 at once,
@@ -239,13 +240,13 @@
 		return b
 	}
 	far := 5 * time.Second
-	checkEqual(t, "nothing pending", FlushIn(book(), 1, 0, far), time.Hour)
-	checkEqual(t, "half a group waits", FlushIn(book("i0"), 1, 0, far), flushIdle)
-	checkEqual(t, "what the trainer waits for", FlushIn(book("i0", "i1"), 1, 0, far), flushSoon)
-	checkEqual(t, "a group too few", FlushIn(book("i0", "i1"), 2, 0, far), flushIdle)
-	checkEqual(t, "all items", FlushIn(book("i0", "i1", "i2", "i3"), 9, 0, far), flushSoon)
-	checkEqual(t, "near the due time", FlushIn(book("i0"), 2, 0, flushDue/2), flushSoon)
-	checkEqual(t, "has waited", FlushIn(book("i0"), 2, 2*flushIdle, far), time.Duration(0))
+	check.Equal(t, "nothing pending", FlushIn(book(), 1, 0, far), time.Hour)
+	check.Equal(t, "half a group waits", FlushIn(book("i0"), 1, 0, far), flushIdle)
+	check.Equal(t, "what the trainer waits for", FlushIn(book("i0", "i1"), 1, 0, far), flushSoon)
+	check.Equal(t, "a group too few", FlushIn(book("i0", "i1"), 2, 0, far), flushIdle)
+	check.Equal(t, "all items", FlushIn(book("i0", "i1", "i2", "i3"), 9, 0, far), flushSoon)
+	check.Equal(t, "near the due time", FlushIn(book("i0"), 2, 0, flushDue/2), flushSoon)
+	check.Equal(t, "has waited", FlushIn(book("i0"), 2, 2*flushIdle, far), time.Duration(0))
 }
 
 // TestBackup sends what runs at one node to the one that would take over, piece
@@ -266,24 +267,24 @@
 		j.items[0].versions = []int{1}
 	}
 	generate(0, backupEvents)
-	checkEqual(t, "the first piece", b.Backup(j.newRests()), true)
+	check.Equal(t, "the first piece", b.Backup(j.newRests()), true)
 	generate(backupEvents, 2*backupEvents)
 	second := j.newRests()
-	checkEqual(t, "it starts where the first ended", second[0].From, backupEvents)
-	checkEqual(t, "the second piece", b.Backup(second), true)
-	checkEqual(t, "nothing new", len(j.newRests()), 0)
+	check.Equal(t, "it starts where the first ended", second[0].From, backupEvents)
+	check.Equal(t, "the second piece", b.Backup(second), true)
+	check.Equal(t, "nothing new", len(j.newRests()), 0)
 	j.book.Finish(Result{Item: "i1", Text: "all", Versions: []int{1}})
-	checkEqual(t, "a whole item", b.Backup(j.newRests()), true)
+	check.Equal(t, "a whole item", b.Backup(j.newRests()), true)
 	taken := b.newJob(Head{ID: "s"}, s)
 	b.mu.Lock()
 	whole, begun := b.useRests(taken)
 	b.mu.Unlock()
-	checkEqual(t, "whole", whole, 1)
-	checkEqual(t, "begun", begun, 1)
-	checkEqual(t, "texts", len(taken.items[0].texts), 2*backupEvents)
-	checkEqual(t, "last event", taken.items[0].last, 2*backupEvents-1)
+	check.Equal(t, "whole", whole, 1)
+	check.Equal(t, "begun", begun, 1)
+	check.Equal(t, "texts", len(taken.items[0].texts), 2*backupEvents)
+	check.Equal(t, "last event", taken.items[0].last, 2*backupEvents-1)
 	lost := []Rest{{Item: "i2", From: 5, Texts: []string{"x"}}}
-	checkEqual(t, "a piece without the ones before", b.Backup(lost), false)
+	check.Equal(t, "a piece without the ones before", b.Backup(lost), false)
 }
 
 func TestRests(t *testing.T) {
@@ -297,13 +298,13 @@
 		_, ok := r.take("i0", minVersion, single, at)
 		return ok
 	}
-	checkEqual(t, "new enough", taken(put(3), 3, false, now), true)
-	checkEqual(t, "too old", taken(put(2, 3), 3, false, now), false)
-	checkEqual(t, "two versions", taken(put(3, 4), 3, true, now), false)
-	checkEqual(t, "unknown version", taken(put(), 1, false, now), false)
-	checkEqual(t, "too late", taken(put(3), 3, false, now.Add(2*restLife)), false)
+	check.Equal(t, "new enough", taken(put(3), 3, false, now), true)
+	check.Equal(t, "too old", taken(put(2, 3), 3, false, now), false)
+	check.Equal(t, "two versions", taken(put(3, 4), 3, true, now), false)
+	check.Equal(t, "unknown version", taken(put(), 1, false, now), false)
+	check.Equal(t, "too late", taken(put(3), 3, false, now.Add(2*restLife)), false)
 	r := put(3)
 	r.take("i0", 3, false, now)
-	checkEqual(t, "taken twice", taken(r, 3, false, now), false)
-	checkEqual(t, "bytes left", r.bytes, 0)
+	check.Equal(t, "taken twice", taken(r, 3, false, now), false)
+	check.Equal(t, "bytes left", r.bytes, 0)
 }
--- /dev/null
+++ b/fakes/check/check.go
@@ -0,0 +1,20 @@
+// Package check holds assertions that tests share.
+//
+// # Usage
+//
+//	check.Equal(t, "results", got, want)
+package check
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Equal reports a difference between two values.
+func Equal[T any](t testing.TB, what string, got, want T) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
--- a/orders/plan_test.go
+++ b/orders/plan_test.go
@@ -4,19 +4,12 @@
 	"fmt"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fleet"
 )
 
-func checkEqual[T any](t *testing.T, what string, got, want T) {
-	t.Helper()
-	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("%s (-want +got):\n%s", what, diff)
-	}
-}
-
 // engines returns endpoints with the given versions of the models a and b.
 func engines(versions ...[2]int) []fleet.State {
 	states := make([]fleet.State, len(versions))
@@ -39,31 +32,31 @@
 func TestPlan(t *testing.T) {
 	wants := func(a, b int) []Want { return []Want{{Model: "a", Version: a}, {Model: "b", Version: b}} }
 	t.Run("nothing named, nothing loaded", func(t *testing.T) {
-		checkEqual(t, "loads", planned(Plan(engines([2]int{1, 1}, [2]int{1, 1}), wants(1, 1), nil)), map[string]string{})
+		check.Equal(t, "loads", planned(Plan(engines([2]int{1, 1}, [2]int{1, 1}), wants(1, 1), nil)), map[string]string{})
 	})
 	t.Run("an endpoint keeps its model", func(t *testing.T) {
 		states := engines([2]int{5, 1}, [2]int{1, 5})
-		checkEqual(t, "loads", planned(Plan(states, wants(7, 5), nil)), map[string]string{"e00": "a7"})
+		check.Equal(t, "loads", planned(Plan(states, wants(7, 5), nil)), map[string]string{"e00": "a7"})
 	})
 	t.Run("those two behind first", func(t *testing.T) {
 		states := engines([2]int{5, 1}, [2]int{4, 1}, [2]int{1, 5}, [2]int{1, 5})
-		checkEqual(t, "loads", planned(Plan(states, wants(6, 5), nil)), map[string]string{"e01": "a6"})
+		check.Equal(t, "loads", planned(Plan(states, wants(6, 5), nil)), map[string]string{"e01": "a6"})
 	})
 	t.Run("half may stay one behind", func(t *testing.T) {
 		states := engines([2]int{6, 1}, [2]int{5, 1}, [2]int{1, 5}, [2]int{1, 5})
-		checkEqual(t, "loads", planned(Plan(states, wants(6, 5), nil)), map[string]string{})
+		check.Equal(t, "loads", planned(Plan(states, wants(6, 5), nil)), map[string]string{})
 	})
 	t.Run("no more at once than the site bears", func(t *testing.T) {
 		states := engines([2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1},
 			[2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1}, [2]int{1, 1})
-		checkEqual(t, "loads", len(Plan(states, wants(3, 3), nil)), 2)
-		checkEqual(t, "with one loading", len(Plan(states, wants(3, 3), Progress{"e00": true})), 1)
+		check.Equal(t, "loads", len(Plan(states, wants(3, 3), nil)), 2)
+		check.Equal(t, "with one loading", len(Plan(states, wants(3, 3), Progress{"e00": true})), 1)
 	})
 }
 
 func TestAtOnce(t *testing.T) {
 	for endpoints, want := range map[int]int{1: 1, 9: 2, 11: 2, 45: 9, 48: 10} {
-		checkEqual(t, fmt.Sprintf("of %d", endpoints), AtOnce(endpoints), want)
+		check.Equal(t, fmt.Sprintf("of %d", endpoints), AtOnce(endpoints), want)
 	}
 }
 
@@ -109,13 +102,13 @@
 		}
 		return list
 	}
-	checkEqual(t, "no demand known", sharesOf(9, wants(0, 0)), []int{5, 4})
-	checkEqual(t, "by demand", sharesOf(9, wants(1, 2)), []int{3, 6})
-	checkEqual(t, "bounded", sharesOf(9, wants(1, 90)), []int{3, 6})
+	check.Equal(t, "no demand known", sharesOf(9, wants(0, 0)), []int{5, 4})
+	check.Equal(t, "by demand", sharesOf(9, wants(1, 2)), []int{3, 6})
+	check.Equal(t, "bounded", sharesOf(9, wants(1, 90)), []int{3, 6})
 	// Seen on horasol-gt: no entry was known yet, and the process ended.
-	checkEqual(t, "no endpoint", sharesOf(0, wants(5)), []int{0})
-	checkEqual(t, "one model", sharesOf(11, wants(5)), []int{11})
-	checkEqual(t, "fewer endpoints than models", sharesOf(2, wants(1, 1, 1)), []int{1, 1, 0})
+	check.Equal(t, "no endpoint", sharesOf(0, wants(5)), []int{0})
+	check.Equal(t, "one model", sharesOf(11, wants(5)), []int{11})
+	check.Equal(t, "fewer endpoints than models", sharesOf(2, wants(1, 1, 1)), []int{1, 1, 0})
 }
 
 func served(states []fleet.State, model string, least int) bool {
