--- a/batch/job.go
+++ b/batch/job.go
@@ -69,6 +69,8 @@
 )
 
 func (k *Keeper) newJob(head Head, s Submission) *job {
+	// What lasts is in the store; the items are all that is needed here.
+	s.Raw = nil
 	j := &job{
 		head: head, sub: s, route: k.routeOf(head), book: NewBook(s.Items),
 		items:   make([]itemState, len(s.Items)),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,6 +52,9 @@
 	memoryShare = 0.7
 	// thousandths turns cores into what hosts tell of themselves.
 	thousandths = 1000
+	// heapGrowth is by how many percent the heap grows before it is collected:
+	// memory is dear on the users' sites, processor time is not.
+	heapGrowth = 40
 	// idleTimeout is how long an idle connection of a caller is kept: callers use
 	// one again after up to four fifths of the configuration's limit, 15 s on the
 	// users' sites, so that closing sooner would break requests off.
@@ -88,6 +91,7 @@
 
 // New puts a node together; nothing listens yet.
 func New(settings *setup.Host, adminPort int, logger *zap.Logger) *Edge {
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory())))
 	e := &Edge{
 		logger: logger, adminPort: adminPort, meter: meter.New(), pool: peers.NewPool(),
