fix(batch): batches whose route is gone, homes of ended groups

Cause, by reading: the items of a batch without a route waited for ever and were looked at ten times a second; the map of where groups run was never emptied. TestABatchWithoutARoute fails on both without the fix.

--- a/batch/job.go
+++ b/batch/job.go
@@ -106,6 +106,9 @@
 // endJob ends a batch's work. The caller holds the lock.
 func (k *Keeper) endJob(j *job) {
 	k.keepRests(j)
+	for group := range j.book.groups {
+		delete(k.homes, j.head.ID+"/"+group)
+	}
 	j.book.End()
 	k.stopRuns(j)
 	close(j.changed)
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -360,12 +360,10 @@
 
 // life returns for how long a batch's items are worked on.
 func (k *Keeper) life(head Head) time.Duration {
-	if table := k.parts.Routes(); table != nil {
-		if route, ok := table.Match(head.Host, head.Path); ok && route.MaxQueue > 0 {
-			return route.MaxQueue + clockSkew
-		}
+	if route := k.routeOf(head); route.MaxQueue > 0 {
+		return route.MaxQueue + clockSkew
 	}
-	return openLife
+	return openLife + clockSkew
 }
 
 // takeOver begins to keep a batch that another node kept.
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -347,6 +347,21 @@
 	}
 }
 
+// TestABatchWithoutARoute gives the items of a batch up whose route is gone, and
+// keeps nothing of its groups after its end.
+func TestABatchWithoutARoute(t *testing.T) {
+	k := newKeeper(t, newRing(), shelf.New(), &instant{held: make(map[string]chan struct{})}, "a")
+	now := time.Now()
+	head := Head{ID: "s", Host: "h", Path: "/gone/x", AcceptedMs: now.Add(-openLife - clockSkew).UnixMilli()}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j := k.newJob(head, submissionOf(t, "s", "i0"))
+	check.Equal(t, "given up", k.expired(j, 0, now), true)
+	k.homes["s/i0"] = "e"
+	k.endJob(j)
+	check.Equal(t, "homes", len(k.homes), 0)
+}
+
 func TestEndStopsAndLasts(t *testing.T) {
 	r, store := newRing(), shelf.New()
 	engine := &instant{held: make(map[string]chan struct{})}
--- a/batch/run.go
+++ b/batch/run.go
@@ -184,7 +184,7 @@
 
 // expired gives an item up whose time in the queue is over by every clock.
 func (k *Keeper) expired(j *job, i int, now time.Time) bool {
-	if j.route.MaxQueue <= 0 || j.head.Age(now) < j.route.MaxQueue+clockSkew {
+	if j.head.Age(now) < k.life(j.head) {
 		return false
 	}
 	k.giveUp(j, i, "its time in the queue is over")
