fix(batch): every node forgets old batches

Cause, by reading: only the first node dropped old heads and results from memory; the others kept them for as long as they ran. TestOldBatchesAreRemoved looks at another node too.

--- a/batch/clean.go
+++ b/batch/clean.go
@@ -25,44 +25,52 @@
 )
 
 // cleanLoop removes batches that nobody may read any more. Only the first node
-// does so.
+// removes them from the store, the others forget them.
 func (k *Keeper) cleanLoop() {
 	for waits.For(k.ctx, cleanInterval) == nil {
 		if k.parts.First() {
 			k.clean(k.ctx, time.Now())
+		} else {
+			k.forget(k.old(time.Now().Add(-cleanMargin)))
 		}
 	}
 }
 
-// clean removes old batches, the head last, so that what was interrupted is
-// found again.
-func (k *Keeper) clean(ctx context.Context, now time.Time) {
-	removed := 0
+// old returns the batches that nobody may read any more. An open batch is read
+// for as long as it is open.
+func (k *Keeper) old(now time.Time) []Head {
 	k.mu.Lock()
-	var old []Head
+	defer k.mu.Unlock()
+	var heads []Head
 	for id, h := range k.heads {
-		if h.head.Age(now) > k.parts.Keep+cleanMargin {
-			old = append(old, h.head)
-			if j := k.jobs[id]; j != nil && !j.book.Ended() {
-				// An open batch is read for as long as it is open.
-				old = old[:len(old)-1]
-			}
+		j := k.jobs[id]
+		if h.head.Age(now) > k.parts.Keep+cleanMargin && (j == nil || j.book.Ended()) {
+			heads = append(heads, h.head)
 		}
 	}
-	k.mu.Unlock()
-	for _, head := range old {
-		if removed == mostCleaned {
-			return
-		}
+	return heads
+}
+
+// forget drops what this node holds of batches.
+func (k *Keeper) forget(heads []Head) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, head := range heads {
+		delete(k.heads, head.ID)
+		delete(k.jobs, head.ID)
+	}
+}
+
+// clean removes old batches, the head last, so that what was interrupted is
+// found again.
+func (k *Keeper) clean(ctx context.Context, now time.Time) {
+	old := k.old(now)
+	for _, head := range old[:min(len(old), mostCleaned)] {
 		if err := k.remove(ctx, head); err != nil {
 			event.BatchCleanFailed.Log(k.parts.Logger, zap.String("batch", head.ID), zap.Error(err))
 			return
 		}
-		removed++
-		k.mu.Lock()
-		delete(k.heads, head.ID)
-		delete(k.jobs, head.ID)
-		k.mu.Unlock()
+		k.forget([]Head{head})
 		event.BatchCleaned.Log(k.parts.Logger, zap.String("batch", head.ID))
 	}
 }
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -322,6 +322,10 @@
 	}
 	k.clean(t.Context(), time.Now().Add(time.Minute))
 	check.Equal(t, "a young one stays", store.Names(kindHeads), []string{"s"})
+	other := newKeeper(t, r, store, &instant{held: make(map[string]chan struct{})}, "b")
+	other.Learn(Notice{Head: Head{ID: "s", AcceptedMs: 1}, Ended: true})
+	other.forget(other.old(time.Now()))
+	check.Equal(t, "heads at another node", len(other.heads), 0)
 	k.clean(t.Context(), time.Now().Add(time.Hour))
 	for _, kind := range []string{kindHeads, kindBodies, kindChunks, kindEnds} {
 		check.Equal(t, kind, store.Names(kind), []string{})
