feat(cmds): log lines of one event are bounded a second

Cause: the sink bounds what waits, not what is written; a fault that hits every request wrote a line each. 300 lines of an event a second, then one in 50; what is left out is counted in log_lines_dropped.

--- a/cmds/log.go
+++ b/cmds/log.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -10,6 +11,13 @@
 	"github.com/currantloft/currantloft/event"
 )
 
+const (
+	// firstLines is how many lines of one event a second are written, laterLines
+	// of how many more one is: a host takes some hundred requests a second.
+	firstLines = 300
+	laterLines = 50
+)
+
 // newHostLogger returns a logger that writes JSON lines to out and never waits
 // for it.
 func newHostLogger(out io.Writer, level string) (*zap.Logger, io.Closer, error) {
@@ -21,6 +29,14 @@
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeDuration = zapcore.MillisDurationEncoder
 	config.EncodeTime = zapcore.EpochMillisTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, least)
+	core := zapcore.NewSamplerWithOptions(
+		zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, least),
+		time.Second, firstLines, laterLines,
+		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+			if decision&zapcore.LogDropped != 0 {
+				sink.Dropped()
+			}
+		}),
+	)
 	return zap.New(core), sink, nil
 }
--- a/event/sink.go
+++ b/event/sink.go
@@ -48,6 +48,13 @@
 	return len(line), nil
 }
 
+// Dropped counts a line that was left out before it came here.
+func (s *Sink) Dropped() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped++
+}
+
 // Sync does nothing: Close writes what waits.
 func (s *Sink) Sync() error { return nil }
 
