--- a/integ/batch_test.go
+++ b/integ/batch_test.go
@@ -246,7 +246,7 @@
 	checkStatus(t, "a request of a caller that still has its address", status, http.StatusOK)
 	s.hosts = s.hosts[1:]
 	s.readWhole("b1", newRecord(), 60, 1)
-	<-leaving.done
+	<-leaving.ended()
 	if code := leaving.cmd.ProcessState.ExitCode(); code != 0 {
 		t.Errorf("it ended with code %d", code)
 	}
--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -39,8 +39,10 @@
 		callers  string
 		ready    string
 		resolver string
-		cmd      *exec.Cmd
-		done     chan struct{}
+
+		mu   sync.Mutex
+		cmd  *exec.Cmd
+		done chan struct{}
 	}
 
 	// site is a store, endpoints and edge processes.
@@ -209,27 +211,42 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	h.cmd = exec.Command(binary, "edge")
-	h.cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings)
-	h.cmd.Stdout, h.cmd.Stderr = log, log
-	if err := h.cmd.Start(); err != nil {
-		s.t.Fatal(err)
+	cmd, done := exec.Command(binary, "edge"), make(chan struct{})
+	cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		s.t.Error(err)
+		return
 	}
-	h.done = make(chan struct{})
-	go func(cmd *exec.Cmd, done chan struct{}) {
+	h.mu.Lock()
+	h.cmd, h.done = cmd, done
+	h.mu.Unlock()
+	go func() {
 		// How it ended stands in its state.
 		_ = cmd.Wait()
 		close(done)
-	}(h.cmd, h.done)
+	}()
 }
 
-func (h *host) signal(sig syscall.Signal) { _ = h.cmd.Process.Signal(sig) }
+// ended returns a channel that is closed when the process has ended.
+func (h *host) ended() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.done
+}
+
+// signal sends a signal to the process; one that has ended takes none.
+func (h *host) signal(sig syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.cmd.Process.Signal(sig)
+}
 
 // kill ends the process as kill -9 does.
 func (s *site) kill(h *host) {
 	h.signal(syscall.SIGCONT)
 	h.signal(syscall.SIGKILL)
-	<-h.done
+	<-h.ended()
 }
 
 func (s *site) reap(h *host) {
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -39,12 +39,14 @@
 // soak is one seed's run.
 type soak struct {
 	*site
-	random  *rand.Rand
-	mu      sync.Mutex
-	stopped map[*host]bool
-	batches []*soakBatch
-	refused []string
-	once    int
+	random *rand.Rand
+	// restarts are the hosts that are to start again.
+	restarts sync.WaitGroup
+	mu       sync.Mutex
+	stopped  map[*host]bool
+	batches  []*soakBatch
+	refused  []string
+	once     int
 }
 
 // soakBatch is a batch and what readers have seen of it.
@@ -155,13 +157,13 @@
 	s.stopped[h] = true
 	h.signal(syscall.SIGCONT)
 	h.signal(sig)
-	go func() {
-		<-h.done
+	s.restarts.Go(func() {
+		<-h.ended()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.start(h)
 		s.stopped[h] = false
-	}()
+	})
 }
 
 // until calls step until stop is closed.
@@ -251,6 +253,7 @@
 	for _, h := range s.hosts {
 		h.signal(syscall.SIGCONT)
 	}
+	s.restarts.Wait()
 	for _, h := range s.hosts {
 		s.eventually(h.name+" is ready again", func() bool {
 			return s.status(h, h.ready, "/currantloft/readyz") == http.StatusOK
