fix(roster,batch): a late hello doesn't take back that a node leaves

Both were faults of the product, not of the tests.

Cause, roster: a hello that a node had sent before it began to leave could be handled after the one that says so, and set the node back to staying; nodes outside the leaver's six next ones kept offering its address. Seen as "n4: 9 stay, want eight" (1 of 60 runs with -race). A start that leaves now stays leaving, also when another node tells of it.

Second cause, found by the same runs: a host whose clock went back before its start could stay unknown for good. A node that had been told of the higher number after the new start's own hello kept the old address, found it dead and asked only there. A lower number is now followed once the higher one is dead, and counts as alive when it answers itself (1 of 80).

Cause, batch: Read, Body and End read a batch's head after they had let go of the lock; a takeover writes it. head returns copies, with the node that the batch falls to (2 of 40 runs with -race before).

Ruled out: slow machines; the failures came on an idle one. Tests: TestALeavingNodeLeaves, TestClockWentBack, failing before.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -179,13 +179,10 @@
 	if !errors.Is(err, ErrNotKept) {
 		return page, err
 	}
-	h, err := k.head(ctx, id)
+	head, keeper, err := k.head(ctx, id)
 	if err != nil {
 		return Page{}, err
 	}
-	k.mu.Lock()
-	keeper := k.keeperOf(h)
-	k.mu.Unlock()
 	if keeper != k.parts.Name {
 		limited, cancel := context.WithTimeout(ctx, wait+peerWait)
 		page, err = k.parts.Peers.ReadAt(limited, keeper, id, after, wait)
@@ -196,10 +193,10 @@
 		event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", keeper), zap.Error(err))
 		wait = 0
 	}
-	page, err = k.readStored(ctx, h.head, after)
+	page, err = k.readStored(ctx, head, after)
 	if err == nil && len(page.Results) == 0 && page.Next < page.Total && wait > 0 {
 		_ = waits.For(ctx, min(wait, storedWait))
-		return k.readStored(ctx, h.head, after)
+		return k.readStored(ctx, head, after)
 	}
 	return page, err
 }
@@ -285,13 +282,10 @@
 	if !errors.Is(err, ErrNotKept) {
 		return body, err
 	}
-	h, err := k.head(ctx, id)
+	head, keeper, err := k.head(ctx, id)
 	if err != nil {
 		return nil, err
 	}
-	k.mu.Lock()
-	keeper := k.keeperOf(h)
-	k.mu.Unlock()
 	if keeper != k.parts.Name {
 		limited, cancel := context.WithTimeout(ctx, peerWait)
 		body, err = k.parts.Peers.BodyAt(limited, keeper, id, item)
@@ -300,7 +294,7 @@
 			return body, err
 		}
 	}
-	return k.storedBody(ctx, h.head, item)
+	return k.storedBody(ctx, head, item)
 }
 
 // BodyHere returns an item's body of a batch that this node keeps.
@@ -344,17 +338,14 @@
 func (k *Keeper) End(ctx context.Context, id string) error {
 	ctx, cancel := context.WithTimeout(ctx, endWait)
 	defer cancel()
-	h, err := k.head(ctx, id)
+	head, keeper, err := k.head(ctx, id)
 	if err != nil {
 		return err
 	}
-	k.Learn(Notice{Head: h.head, Ended: true})
-	k.mu.Lock()
-	keeper := k.keeperOf(h)
-	k.mu.Unlock()
+	k.Learn(Notice{Head: head, Ended: true})
 	if keeper != k.parts.Name {
 		limited, cancelLimited := context.WithTimeout(ctx, peerWait)
-		if err := k.parts.Peers.EndAt(limited, keeper, h.head); err != nil {
+		if err := k.parts.Peers.EndAt(limited, keeper, head); err != nil {
 			event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", keeper), zap.Error(err))
 		}
 		cancelLimited()
@@ -366,7 +357,7 @@
 	if err := k.create(ctx, kindEnds, id, spec); err != nil {
 		return fmt.Errorf("%w: %w", ErrUnsure, err)
 	}
-	event.BatchEnded.Log(k.parts.Logger, zap.String("batch", id), zap.Duration("age", h.head.Age(time.Now())))
-	k.parts.Peers.Tell(Notice{Head: h.head, Ended: true})
+	event.BatchEnded.Log(k.parts.Logger, zap.String("batch", id), zap.Duration("age", head.Age(time.Now())))
+	k.parts.Peers.Tell(Notice{Head: head, Ended: true})
 	return nil
 }
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -228,29 +228,34 @@
 	return name
 }
 
-// head returns what is known of a batch, from the store if need be.
-func (k *Keeper) head(ctx context.Context, id string) (*known, error) {
+// head returns a batch's head, from the store if need be, and the node that the
+// batch falls to.
+func (k *Keeper) head(ctx context.Context, id string) (head Head, keeper string, err error) {
 	k.mu.Lock()
 	h := k.heads[id]
+	if h != nil {
+		head, keeper = h.head, k.keeperOf(h)
+	}
 	k.mu.Unlock()
 	if h != nil {
-		return h, nil
+		return head, keeper, nil
 	}
 	record, err := k.parts.Store.Get(ctx, kindHeads, id)
 	if errors.Is(err, object.ErrNotFound) {
-		return nil, ErrUnknown
+		return Head{}, "", ErrUnknown
 	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnsure, err)
+		return Head{}, "", fmt.Errorf("%w: %w", ErrUnsure, err)
 	}
-	head, err := decodeHead(record)
+	head, err = decodeHead(record)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrUnsure, err)
+		return Head{}, "", fmt.Errorf("%w: %w", ErrUnsure, err)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.learn(Notice{Head: head})
-	return k.heads[id], nil
+	h = k.heads[id]
+	return h.head, k.keeperOf(h), nil
 }
 
 // sweepLoop takes over batches that fall to this node and gives up those that
@@ -342,7 +347,8 @@
 		switch {
 		case j == nil && mine && !h.ended && !h.taking && h.head.Age(now) < k.life(h.head):
 			h.taking = true
-			k.tasks.Go(func() { k.takeOver(h) })
+			head := h.head
+			k.tasks.Go(func() { k.takeOver(h, head) })
 		case j != nil && !mine && !j.book.Ended():
 			event.BatchReleased.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", k.keeperOf(h)))
 			k.stopRuns(j)
@@ -366,10 +372,11 @@
 	return openLife + clockSkew
 }
 
-// takeOver begins to keep a batch that another node kept.
-func (k *Keeper) takeOver(h *known) {
+// takeOver begins to keep a batch that another node kept; head is how the batch
+// was known when it fell to this one.
+func (k *Keeper) takeOver(h *known, head Head) {
 	begun := time.Now()
-	j, ended, err := k.load(k.ctx, h.head)
+	j, ended, err := k.load(k.ctx, head)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h.taking = false
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -293,10 +293,14 @@
 	switch {
 	case p == nil || p.host.Incarnation < h.Incarnation:
 		r.hosts[h.Name] = &peer{host: h, heard: time.Now()}
-	case p.host.Incarnation > h.Incarnation:
+	case p.host.Incarnation > h.Incarnation && p.dead:
 		// The host's clock may have gone back before its last start: only the node
-		// itself can tell.
+		// itself can tell, at the address that it may have now.
+		r.hosts[h.Name] = &peer{host: h, heard: p.heard, dead: true}
+	case p.host.Incarnation > h.Incarnation:
 		p.known = false
+	default:
+		p.host.Leaving = p.host.Leaving || h.Leaving
 	}
 }
 
@@ -315,6 +319,9 @@
 	if p != nil && p.dead {
 		r.lostAt = time.Now()
 	}
+	// A start that leaves doesn't stay again: a hello that says otherwise was sent
+	// earlier and overtaken.
+	h.Leaving = h.Leaving || p != nil && p.host.Incarnation == h.Incarnation && p.host.Leaving
 	if p == nil || p.host.Incarnation != h.Incarnation || p.dead {
 		event.HostJoined.Log(r.logger, zap.String("host", h.Name), zap.Uint64("incarnation", h.Incarnation))
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,3 +151,70 @@
 		t.Errorf("got %s", got)
 	}
 }
+
+// TestALeavingNodeLeaves delivers a hello that was sent before the node began to
+// leave after the one that says so.
+func TestALeavingNodeLeaves(t *testing.T) {
+	stays := &wirepb.HostInfo{Name: "other", Incarnation: 1}
+	leaves := &wirepb.HostInfo{Name: "other", Incarnation: 1, Leaving: true}
+	again := &wirepb.HostInfo{Name: "other", Incarnation: 2}
+	check := func(t *testing.T, r *Roster, want string) {
+		t.Helper()
+		if got := fmt.Sprint(r.Staying()); got != want {
+			t.Errorf("%s stay, want %s", got, want)
+		}
+	}
+	fresh := func() *Roster {
+		r := New(Host{Name: "self", Incarnation: 1}, shelf.New(), nil, zap.NewNop())
+		r.Serve(&wirepb.Hello{From: stays})
+		return r
+	}
+	t.Run("an older hello comes late", func(t *testing.T) {
+		r := fresh()
+		r.Serve(&wirepb.Hello{From: leaves})
+		r.Serve(&wirepb.Hello{From: stays})
+		check(t, r, "[self]")
+	})
+	t.Run("another node tells of it", func(t *testing.T) {
+		r := fresh()
+		r.learn(hostOf(leaves))
+		check(t, r, "[self]")
+		r.learn(hostOf(stays))
+		check(t, r, "[self]")
+	})
+	t.Run("its next start stays", func(t *testing.T) {
+		r := fresh()
+		r.Serve(&wirepb.Hello{From: leaves})
+		r.Serve(&wirepb.Hello{From: again})
+		check(t, r, "[self other]")
+	})
+}
+
+// TestClockWentBack tells of a start with a lower number after one that died.
+func TestClockWentBack(t *testing.T) {
+	first := &wirepb.HostInfo{Name: "other", Incarnation: 2, PeerAddress: "old"}
+	second := &wirepb.HostInfo{Name: "other", Incarnation: 1, PeerAddress: "new"}
+	r := New(Host{Name: "self", Incarnation: 1}, shelf.New(), nil, zap.NewNop())
+	address := func(want string) {
+		t.Helper()
+		if due := r.due(); len(due) != 1 || due[0].Peers != want {
+			t.Fatalf("hellos go to %v, want %s", due, want)
+		}
+	}
+	alive := func(incarnation uint64, want bool) {
+		t.Helper()
+		if got := r.Alive("other", incarnation); got != want {
+			t.Errorf("start %d alive: %t, want %t", incarnation, got, want)
+		}
+	}
+	r.Serve(&wirepb.Hello{From: first})
+	r.learn(hostOf(second))
+	address("old")
+	alive(2, true)
+	r.failed(hostOf(first), syscall.ECONNREFUSED)
+	r.learn(hostOf(second))
+	address("new")
+	alive(1, false)
+	r.Serve(&wirepb.Hello{From: second})
+	alive(1, true)
+}
