feat(cmds,platform): check a host's settings; header limit; bad input tested

A node that serves callers now finds missing addresses at start instead of listening anywhere. - Settings that nothing read (data folder, region, heartbeat, cancel) are gone; the life of address answers is capped by the platform's longest. - TestEdgeOrderCarriedOutLate: orders stay unanswered, the holder dies, the next one loads a newer version, then the old order is carried out.

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -6,15 +6,23 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/currantloft/currantloft/platform"
 	"github.com/currantloft/currantloft/specs"
 )
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check a set of declarations without touching anything",
-		ArgsUsage: "FOLDER",
+		Usage:     "check a set of declarations, or a host's settings, without touching anything",
+		ArgsUsage: "[FOLDER]",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "check the platform's settings `FILE` instead"},
+			&cli.BoolFlag{Name: "storage", Usage: "the settings are those of a storage host"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if path := c.String("settings"); path != "" {
+				return checkSettings(c, path)
+			}
 			_, set, err := readSet(c)
 			if err != nil {
 				return err
@@ -25,6 +33,24 @@
 	}
 }
 
+// checkSettings checks the settings file of a host on the prepared platform.
+func checkSettings(c *cli.Command, path string) error {
+	if c.Args().Present() {
+		return usageError("%s wants a folder or --settings, not both", c.Name)
+	}
+	role := platform.RoleCallers
+	if c.Bool("storage") {
+		role = platform.RoleStorage
+	}
+	host, err := platform.LoadSettings(path, role)
+	if err != nil {
+		return &exitError{code: ExitFindings, cause: err}
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "ok: host %s in domain %s, %d MB, %g cores\n",
+		host.Name(), host.Domain(), host.Memory()>>20, host.Processor())
+	return err
+}
+
 // readSet reads and checks the folder that the command names.
 func readSet(c *cli.Command) ([]specs.File, *specs.Set, error) {
 	if c.Args().Len() != 1 {
--- a/cmds/edge.go
+++ b/cmds/edge.go
@@ -20,9 +20,9 @@
 			Name: "admin-port", Usage: "`PORT` of metrics, status and dump, 0 for none",
 		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return onHost(c, func(settings *setup.Host, logger *zap.Logger) error {
+			return onHost(c, platform.RoleCallers, func(settings *setup.Host, logger *zap.Logger) error {
 				e := edge.New(settings, c.Int("admin-port"), logger)
-				go followSettings(ctx, c.String("settings"), logger, e.Reload)
+				go followSettings(ctx, c.String("settings"), platform.RoleCallers, logger, e.Reload)
 				return e.Run(ctx)
 			})
 		},
@@ -35,9 +35,9 @@
 		Usage: "run the process of a storage host on the prepared platform",
 		Flags: hostFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return onHost(c, func(settings *setup.Host, logger *zap.Logger) error {
+			return onHost(c, platform.RoleStorage, func(settings *setup.Host, logger *zap.Logger) error {
 				s := edge.NewStorage(settings, logger)
-				go followSettings(ctx, c.String("settings"), logger, s.Reload)
+				go followSettings(ctx, c.String("settings"), platform.RoleStorage, logger, s.Reload)
 				return s.Run(ctx)
 			})
 		},
@@ -55,8 +55,8 @@
 }
 
 // onHost reads the platform's settings and runs a process with them.
-func onHost(c *cli.Command, run func(*setup.Host, *zap.Logger) error) error {
-	settings, err := platform.LoadSettings(c.String("settings"))
+func onHost(c *cli.Command, role platform.Role, run func(*setup.Host, *zap.Logger) error) error {
+	settings, err := platform.LoadSettings(c.String("settings"), role)
 	if err != nil {
 		return &exitError{code: ExitFindings, cause: err}
 	}
--- a/cmds/reload.go
+++ b/cmds/reload.go
@@ -20,7 +20,7 @@
 
 // followSettings reads the settings file again on SIGHUP and when it has
 // changed. Settings that can't be read leave the old ones in force.
-func followSettings(ctx context.Context, path string, logger *zap.Logger, apply func(*setup.Host)) {
+func followSettings(ctx context.Context, path string, role platform.Role, logger *zap.Logger, apply func(*setup.Host)) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -38,7 +38,7 @@
 			}
 		}
 		seen = modified(path, logger)
-		settings, err := platform.LoadSettings(path)
+		settings, err := platform.LoadSettings(path, role)
 		if err != nil {
 			event.SettingsRefused.Log(logger, zap.Error(err))
 			continue
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -260,7 +260,7 @@
 			addresses = append(addresses, h.Callers)
 		}
 	}
-	return addresses, addressLife
+	return addresses, min(addressLife, e.settings.Load().AddressLifetime())
 }
 
 // Serve answers a plain request.
--- a/integ/batch_test.go
+++ b/integ/batch_test.go
@@ -1,8 +1,11 @@
 package integ
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -46,6 +49,54 @@
 	s.readWhole("b1", r, 12, 1)
 }
 
+// TestEdgeBadInput answers what can't be read with a status and a text, and
+// serves on.
+func TestEdgeBadInput(t *testing.T) {
+	s := newSite(t, 1, siteLimit)
+	cases := map[string]struct {
+		header, value string
+		body          []byte
+		want          int
+	}{
+		"headers above the limit":  {header: "Filler", value: strings.Repeat("x", 17<<10), want: http.StatusRequestHeaderFieldsTooLarge},
+		"a body above the limit":   {body: make([]byte, 1<<20+1), want: http.StatusRequestEntityTooLarge},
+		"a deadline without sense": {header: "Deadline-Ms", value: "soon", want: http.StatusBadRequest},
+		"an event without sense":   {header: "Last-Event-Id", value: "one", want: http.StatusBadRequest},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.hosts[0].callers+plainPath+"x", bytes.NewReader(c.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Host = hostName
+			request.Header.Set("Attempt-Id", "bad")
+			if c.header != "" {
+				request.Header.Set(c.header, c.value)
+			}
+			response, err := s.client.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+			checkStatus(t, name, response.StatusCode, c.want)
+			var answer struct {
+				Error string `json:"error"`
+			}
+			if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || answer.Error == "" {
+				t.Errorf("the answer has no text: %v", err)
+			}
+		})
+	}
+	status, _ := s.send(http.MethodPost, s.hosts[0].callers, plainPath+"x", "good", []byte("hello"))
+	checkStatus(t, "a good request afterwards", status, http.StatusOK)
+	for _, run := range s.plains[0].Runs() {
+		if run.ID == "bad" {
+			t.Error("a request that could not be read ran")
+		}
+	}
+}
+
 // end ends a batch at the last host.
 func (s *site) end(id string) int {
 	status, _ := s.send(http.MethodDelete, s.hosts[len(s.hosts)-1].callers, "/currantloft/lots/"+id, "", nil)
@@ -215,6 +266,57 @@
 	}
 }
 
+// TestEdgeOrderCarriedOutLate leaves orders unanswered and carries them out when
+// a newer version has been loaded by another holder: none takes an endpoint back.
+func TestEdgeOrderCarriedOutLate(t *testing.T) {
+	s := newSite(t, 3, siteLimit)
+	name := func(version int) {
+		s.put("versions", testModel, map[string]any{"model": testModel, "version": version})
+	}
+	const late = 6 * time.Second
+	for _, e := range s.engines {
+		e.DelayOrders(late)
+	}
+	name(2)
+	s.eventually("an order waits to be carried out", func() bool { return waiting(s) > 0 })
+	// The holder goes; the next one knows nothing of its orders.
+	for _, e := range s.engines {
+		e.DelayOrders(0)
+	}
+	for _, h := range s.hosts[:2] {
+		s.kill(h)
+	}
+	s.hosts = s.hosts[2:]
+	name(3)
+	s.submitUntilKept("b1", batchOf("b1", 4, 3))
+	s.readWhole("b1", newRecord(), 12, 3)
+	s.eventually("the late orders were looked at", func() bool { return waiting(s) == 0 })
+	s.submitUntilKept("b2", batchOf("b2", 4, 3))
+	s.readWhole("b2", newRecord(), 12, 3)
+	for i, e := range s.engines {
+		last := 0
+		for _, loaded := range e.Versions() {
+			var version int
+			if _, err := fmt.Sscanf(loaded, testModel+"/%d", &version); err != nil {
+				t.Fatal(err)
+			}
+			if version < last {
+				t.Errorf("engine %d loaded %v, an older version after a newer one", i, e.Versions())
+			}
+			last = version
+		}
+	}
+}
+
+// waiting returns how many orders are still to be carried out.
+func waiting(s *site) int {
+	n := 0
+	for _, e := range s.engines {
+		n += e.Waiting()
+	}
+	return n
+}
+
 func splitOrder(order string) string {
 	out := []byte(order)
 	for i := range out {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -75,10 +75,8 @@
 
 	// Limits bound what a caller may send.
 	Limits struct {
-		HeaderBytes   int
-		BodyBytes     int64
-		HeaderTimeout time.Duration
-		IdleTimeout   time.Duration
+		HeaderBytes int
+		BodyBytes   int64
 	}
 
 	// Table is one version of the configuration. It never changes.
--- a/setup/host.go
+++ b/setup/host.go
@@ -6,7 +6,7 @@
 	// HostParts are the settings of a host on the prepared platform, as read.
 	HostParts struct {
 		// Name is unique in the fleet, Domain the failure domain.
-		Name, Domain, Region string
+		Name, Domain string
 		// Callers, Ready, Resolver and Peers are addresses to listen on, empty
 		// where the host doesn't serve them.
 		Callers, Ready, Resolver, Peers string
@@ -14,14 +14,10 @@
 		Store string
 		// StoreValueBytes is the largest object of the store.
 		StoreValueBytes int
-		// DataDir is the data folder, empty without a disk.
-		DataDir string
 		// Memory is the limit of the process, in bytes.
 		Memory int64
 		// Processor is the host's share of a core.
 		Processor float64
-		// Heartbeat is how often endpoints refresh their entries.
-		Heartbeat time.Duration
 		// AddressLifetime is the longest that a caller keeps an address answer.
 		AddressLifetime time.Duration
 		// Grace is the time from SIGTERM to SIGKILL.
@@ -30,8 +26,6 @@
 		Lease, Thaw time.Duration
 		// ConfigBound is how soon a configuration must be in force everywhere.
 		ConfigBound time.Duration
-		// Cancel is how soon an ended batch must be at rest.
-		Cancel time.Duration
 		// Keep is how long results of a batch can be read.
 		Keep time.Duration
 	}
@@ -49,9 +43,6 @@
 // Domain returns the failure domain.
 func (h *Host) Domain() string { return h.parts.Domain }
 
-// Region returns the region.
-func (h *Host) Region() string { return h.parts.Region }
-
 // Callers returns where callers connect, empty if they don't.
 func (h *Host) Callers() string { return h.parts.Callers }
 
@@ -70,18 +61,12 @@
 // StoreValueBytes returns the largest object of the store, in bytes.
 func (h *Host) StoreValueBytes() int { return h.parts.StoreValueBytes }
 
-// DataDir returns the data folder, empty without a disk.
-func (h *Host) DataDir() string { return h.parts.DataDir }
-
 // Memory returns the memory limit in bytes.
 func (h *Host) Memory() int64 { return h.parts.Memory }
 
 // Processor returns the host's share of a core.
 func (h *Host) Processor() float64 { return h.parts.Processor }
 
-// Heartbeat returns how often endpoints refresh their entries.
-func (h *Host) Heartbeat() time.Duration { return h.parts.Heartbeat }
-
 // AddressLifetime returns the longest that a caller keeps an address answer.
 func (h *Host) AddressLifetime() time.Duration { return h.parts.AddressLifetime }
 
@@ -97,8 +82,5 @@
 // ConfigBound returns how soon a configuration must be in force everywhere.
 func (h *Host) ConfigBound() time.Duration { return h.parts.ConfigBound }
 
-// Cancel returns how soon an ended batch must be at rest.
-func (h *Host) Cancel() time.Duration { return h.parts.Cancel }
-
 // Keep returns how long results of a batch can be read.
 func (h *Host) Keep() time.Duration { return h.parts.Keep }
