feat(object): stale reads of objects that never change

Chunks, bodies, heads and ends are created and never replaced, so a stale read that finds one is as good as a fresh one; only one that finds nothing is asked again fresh.

Ruled out: listing a kind a batch, which needs kinds without end. Test: TestLastingReadsAreStale (one call where the stale read finds it, two where it is behind).

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -240,7 +240,7 @@
 	if h != nil {
 		return head, keeper, nil
 	}
-	record, err := k.parts.Store.Get(ctx, kindHeads, id)
+	record, err := object.GetLasting(ctx, k.parts.Store, kindHeads, id)
 	if errors.Is(err, object.ErrNotFound) {
 		return Head{}, "", ErrUnknown
 	}
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -93,7 +93,7 @@
 func (k *Keeper) submission(ctx context.Context, head Head) (Submission, error) {
 	var raw []byte
 	for n := range head.Parts {
-		record, err := k.parts.Store.Get(ctx, kindBodies, chunkName(head.ID, n))
+		record, err := object.GetLasting(ctx, k.parts.Store, kindBodies, chunkName(head.ID, n))
 		if err != nil {
 			return Submission{}, fmt.Errorf("reading the body of batch %s: %w", head.ID, err)
 		}
@@ -108,7 +108,7 @@
 
 // chunkAt reads one chunk; ErrNotFound says that it isn't there yet.
 func (k *Keeper) chunkAt(ctx context.Context, id string, n int) (chunk, error) {
-	record, err := k.parts.Store.Get(ctx, kindChunks, chunkName(id, n))
+	record, err := object.GetLasting(ctx, k.parts.Store, kindChunks, chunkName(id, n))
 	if err != nil {
 		return chunk{}, err
 	}
@@ -125,7 +125,7 @@
 
 // load reads all that lasts of a batch.
 func (k *Keeper) load(ctx context.Context, head Head) (j *job, ended bool, err error) {
-	_, err = k.parts.Store.Get(ctx, kindEnds, head.ID)
+	_, err = object.GetLasting(ctx, k.parts.Store, kindEnds, head.ID)
 	if err == nil {
 		return nil, true, nil
 	}
--- a/fakes/shelf/shelf.go
+++ b/fakes/shelf/shelf.go
@@ -34,6 +34,8 @@
 		LateBy time.Duration
 		// Deaf makes watches hear nothing.
 		Deaf bool
+		// Behind makes stale reads of single objects find nothing.
+		Behind bool
 	}
 
 	// Shelf is safe for concurrent use.
@@ -128,14 +130,14 @@
 }
 
 // Get reads one object.
-func (s *Shelf) Get(ctx context.Context, kind, name string) (object.Entry, error) {
+func (s *Shelf) Get(ctx context.Context, kind, name string, read object.Read) (object.Entry, error) {
 	if s.enter(ctx) != nil {
 		return object.Entry{}, object.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entry, ok := s.objects[kind][name]
-	if !ok {
+	if !ok || (read == object.Stale && s.faults.Behind) {
 		return object.Entry{}, object.ErrNotFound
 	}
 	return entry, nil
--- a/object/store.go
+++ b/object/store.go
@@ -54,7 +54,7 @@
 	// when that is not known.
 	Store interface {
 		// Get reads one object.
-		Get(ctx context.Context, kind, name string) (Entry, error)
+		Get(ctx context.Context, kind, name string, read Read) (Entry, error)
 		// List reads all objects of a kind and the store's revision.
 		List(ctx context.Context, kind string, read Read) ([]Entry, uint64, error)
 		// Watch waits for changes after a revision and returns the revision to go
--- a/object/sure.go
+++ b/object/sure.go
@@ -20,6 +20,16 @@
 	refusedPause = 150 * time.Millisecond
 )
 
+// GetLasting reads an object that never changes once it exists, so that a stale
+// read that finds it is enough; one that doesn't proves nothing.
+func GetLasting(ctx context.Context, store Store, kind, name string) (Entry, error) {
+	entry, err := store.Get(ctx, kind, name, Stale)
+	if errors.Is(err, ErrNotFound) {
+		return store.Get(ctx, kind, name, Fresh)
+	}
+	return entry, err
+}
+
 // CreateSure creates an object, trying again until there is a definite answer or
 // the context ends. Since a creation never replaces anything, several tries may
 // be on their way at once. It returns nil or an *ExistsError, an error that is
--- a/object/sure_test.go
+++ b/object/sure_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fakes/shelf"
 	"github.com/currantloft/currantloft/object"
 )
@@ -58,3 +59,20 @@
 		}
 	})
 }
+
+// TestLastingReadsAreStale pays for a fresh read only where a stale one finds
+// nothing.
+func TestLastingReadsAreStale(t *testing.T) {
+	store := shelf.New()
+	if _, err := store.Create(t.Context(), "k", "n", []byte("{}")); err != nil {
+		t.Fatal(err)
+	}
+	for behind, want := range map[bool]int{false: 1, true: 2} {
+		store.SetFaults(shelf.Faults{Behind: behind})
+		before := store.Calls()
+		if _, err := object.GetLasting(t.Context(), store, "k", "n"); err != nil {
+			t.Errorf("behind %t: %v", behind, err)
+		}
+		check.Equal(t, "calls", store.Calls()-before, want)
+	}
+}
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -123,7 +123,7 @@
 
 // observe reads the record. Its age counts from the first time it was seen.
 func (l *Lease) observe(ctx context.Context) error {
-	record, err := l.store.Get(ctx, kindLeases, leaseName)
+	record, err := l.store.Get(ctx, kindLeases, leaseName, object.Fresh)
 	missing := errors.Is(err, object.ErrNotFound)
 	if err != nil && !missing {
 		return fmt.Errorf("reading the lease: %w", err)
