feat(batch): what runs is saved in the store every two seconds

Now the keeper replaces one small object a batch with what its unfinished items have generated, if 20 events or more are new; whoever takes over goes on after them, where the nodes' own copies don't hold more. Any state of the object is the beginning of what was generated, so no fence is needed.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -134,6 +134,8 @@
 	kindHeads  = "batch-heads"
 	kindChunks = "batch-chunks"
 	kindEnds   = "batch-ends"
+	// kindBegun holds what was generated for items that run; it is replaced.
+	kindBegun = "batch-begun"
 )
 
 func (Kept) accepted()    {}
--- a/batch/clean.go
+++ b/batch/clean.go
@@ -90,7 +90,7 @@
 			return err
 		}
 	}
-	for _, kind := range []string{kindEnds, kindHeads} {
+	for _, kind := range []string{kindBegun, kindEnds, kindHeads} {
 		if err := k.removeOne(ctx, kind, head.ID); err != nil && !errors.Is(err, object.ErrNotFound) {
 			return err
 		}
--- a/batch/job.go
+++ b/batch/job.go
@@ -39,6 +39,9 @@
 		// backup is the node that has what was generated, sent how much of it.
 		backup string
 		sent   map[string]int
+		// saved is how many events of each item the store has, nil without its
+		// object.
+		saved map[string]int
 		// from is the head by the keeper before this one, until that has been told.
 		from Head
 		// doubtUntil is until when another keeper may have written chunks,
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -167,6 +167,7 @@
 	k.tasks.Go(k.scheduleLoop)
 	k.tasks.Go(k.sweepLoop)
 	k.tasks.Go(k.backupLoop)
+	k.tasks.Go(k.saveLoop)
 	k.tasks.Go(k.cleanLoop)
 	return k
 }
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -327,7 +327,7 @@
 	other.forget(other.old(time.Now()))
 	check.Equal(t, "heads at another node", len(other.heads), 0)
 	k.clean(t.Context(), time.Now().Add(time.Hour))
-	for _, kind := range []string{kindHeads, kindBodies, kindChunks, kindEnds} {
+	for _, kind := range []string{kindHeads, kindBodies, kindChunks, kindEnds, kindBegun} {
 		check.Equal(t, kind, store.Names(kind), []string{})
 	}
 	if _, err := k.Read(t.Context(), "s", 0, 0); !errors.Is(err, ErrUnknown) {
--- a/batch/rests.go
+++ b/batch/rests.go
@@ -47,13 +47,13 @@
 	// Rest is what was generated for an item, for the node that would take its
 	// batch over.
 	Rest struct {
-		Item string
+		Item string `json:"item"`
 		// From is how many events that node should have already.
-		From     int
-		Texts    []string
-		Last     int
-		Versions []int
-		Whole    bool
+		From     int      `json:"-"`
+		Texts    []string `json:"texts"`
+		Last     int      `json:"last"`
+		Versions []int    `json:"versions"`
+		Whole    bool     `json:"-"`
 	}
 )
 
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -140,6 +140,7 @@
 	for {
 		c, err := k.chunkAt(ctx, head.ID, j.book.Chunks())
 		if errors.Is(err, object.ErrNotFound) {
+			k.loadBegun(ctx, head.ID)
 			return j, false, nil
 		}
 		if err != nil {
--- a/event/event.go
+++ b/event/event.go
@@ -111,6 +111,7 @@
 	ItemGivenUp         = define(875, "item_given_up", zapcore.WarnLevel)
 	BatchRests          = define(878, "batch_goes_on_from_before", zapcore.InfoLevel)
 	BatchCleaned        = define(890, "batch_removed", zapcore.InfoLevel)
+	BatchNotSaved       = define(892, "batch_progress_not_saved", zapcore.WarnLevel)
 	BatchCleanFailed    = define(891, "batch_not_removed", zapcore.WarnLevel)
 	ItemMoved           = define(877, "item_moved", zapcore.DebugLevel)
 	ItemDone            = define(876, "item_done", zapcore.DebugLevel)
