fix(batch): results are due from the first try of a batch

The node that keeps it is offered each try, so it knows the first one, as the accepting node does. Results that wait to last are saved with what runs, too.

Tests: TestDueSinceTheFirstTry (fails before: 1 s after the first try), TestResultsThatWaitAreSaved.

--- a/batch/begun.go
+++ b/batch/begun.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -81,8 +82,8 @@
 	}
 }
 
-// progress returns what unfinished items have generated, the longest first up to
-// so many bytes. The caller holds the lock.
+// progress returns what unfinished items have generated and the results that
+// don't last yet, the longest first up to so many bytes. The caller holds the lock.
 func (j *job) progress(most int) []Rest {
 	var list []Rest
 	for i := range j.items {
@@ -95,6 +96,11 @@
 			Versions: append([]int(nil), state.versions...),
 		})
 	}
+	for _, r := range j.book.pending {
+		if !r.Failed {
+			list = append(list, Rest{Item: r.Item, Texts: strings.Split(r.Text, "\n"), Versions: r.Versions, Whole: true})
+		}
+	}
 	sort.SliceStable(list, func(a, b int) bool { return len(list[a].Texts) > len(list[b].Texts) })
 	for n, r := range list {
 		size := rest{texts: r.Texts}.bytes()
@@ -143,9 +149,9 @@
 	defer k.mu.Unlock()
 	now := time.Now()
 	for _, r := range list {
-		if kept, ok := k.rests.items[r.Item]; ok && (kept.whole || len(kept.texts) >= len(r.Texts)) {
+		if kept, ok := k.rests.items[r.Item]; ok && (kept.whole || !r.Whole && len(kept.texts) >= len(r.Texts)) {
 			continue
 		}
-		k.rests.put(r.Item, rest{texts: r.Texts, last: r.Last, versions: r.Versions, at: now})
+		k.rests.put(r.Item, rest{texts: r.Texts, last: r.Last, versions: r.Versions, whole: r.Whole, at: now})
 	}
 }
--- a/batch/begun_test.go
+++ b/batch/begun_test.go
@@ -117,9 +117,10 @@
 func TestSavedProgressIsOlder(t *testing.T) {
 	store := shelf.New()
 	k := newKeeper(t, newRing(), store, &halting{halt: -1}, "a")
-	save := func(texts ...string) {
+	save := func(whole bool, texts ...string) {
 		t.Helper()
-		if err := k.saveOne(t.Context(), "s", []Rest{{Item: "i", Texts: texts, Versions: []int{1}}}, false); err != nil {
+		list := []Rest{{Item: "i", Texts: texts, Versions: []int{1}, Whole: whole}}
+		if err := k.saveOne(t.Context(), "s", list, false); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -131,8 +132,24 @@
 	}
 	k.Backup([]Rest{{Item: "i", Texts: []string{"0", "1"}, Versions: []int{1}}})
 	check.Equal(t, "without a save", load(), 2)
-	save("0")
+	save(false, "0")
 	check.Equal(t, "a shorter save", load(), 2)
-	save("0", "1", "2")
+	save(false, "0", "1", "2")
 	check.Equal(t, "a longer save", load(), 3)
+	save(true, "whole")
+	check.Equal(t, "a result that waited to last", load(), 1)
+}
+
+// TestResultsThatWaitAreSaved saves results that don't last yet with what runs.
+func TestResultsThatWaitAreSaved(t *testing.T) {
+	k := newKeeper(t, newRing(), shelf.New(), &halting{halt: -1}, "a")
+	j := k.newJob(Head{ID: "s"}, submissionOf(t, "s", "i0", "i1"))
+	j.items[0].texts = make([]string, saveEvents)
+	j.book.Finish(Result{Item: "i1", Text: "a\nb", Versions: []int{1}})
+	var got []string
+	for _, r := range j.progress(1 << 20) {
+		got = append(got, fmt.Sprintf("%s %d %t", r.Item, len(r.Texts), r.Whole))
+	}
+	check.Equal(t, "what is saved", got, []string{fmt.Sprintf("i0 %d false", saveEvents), "i1 2 true"})
+	check.Equal(t, "what fits into nothing: texts without a byte", len(j.progress(0)), 1)
 }
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -24,6 +24,9 @@
 	offerWait = 250 * time.Millisecond
 	// mostOffers bounds the offers that wait for their acceptance.
 	mostOffers = 8
+	// mostAsked bounds the batches whose first try is remembered; a trainer tries
+	// one for some seconds.
+	mostAsked = 64
 	// demandLife is how long a batch counts to its model's demand.
 	demandLife = 20 * time.Second
 	// acceptRetry is when a trainer that was refused comes back.
@@ -46,6 +49,7 @@
 	defer cancel()
 	k.mu.Lock()
 	h := k.heads[s.ID]
+	first := k.firstAsked(s.ID, begun)
 	k.mu.Unlock()
 	if h != nil {
 		event.BatchAgain.Log(k.parts.Logger, zap.String("batch", s.ID))
@@ -60,7 +64,7 @@
 	}
 	head := Head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, Step: s.Step, Items: len(s.Items),
-		Keeper: keeper, Incarnation: incarnation, Tokens: tokensOf(s.Items), AcceptedMs: begun.UnixMilli(), Parts: parts,
+		Keeper: keeper, Incarnation: incarnation, Tokens: tokensOf(s.Items), AcceptedMs: first.UnixMilli(), Parts: parts,
 	}
 	head, outcome := k.storeHead(ctx, head)
 	if _, ok := outcome.(Kept); !ok {
@@ -138,9 +142,25 @@
 		clear(k.offers)
 	}
 	k.offers[id] = s
+	k.firstAsked(id, time.Now())
 	return true
 }
 
+// firstAsked returns when a batch was first handed in. Its results are due by
+// then, also if the store was away and several tries were needed. The caller
+// holds the lock.
+func (k *Keeper) firstAsked(id string, now time.Time) time.Time {
+	first, ok := k.asked[id]
+	if !ok {
+		if len(k.asked) >= mostAsked {
+			clear(k.asked)
+		}
+		first = now
+		k.asked[id] = first
+	}
+	return first
+}
+
 // mine reports whether the head names this start of this node as the keeper.
 func (k *Keeper) mine(head Head) bool {
 	return head.Keeper == k.parts.Name && head.Incarnation == k.parts.Incarnation && !k.leaving
--- a/batch/job.go
+++ b/batch/job.go
@@ -26,15 +26,18 @@
 type (
 	// job is a batch that this node keeps. The keeper's lock guards it.
 	job struct {
-		head     Head
-		sub      Submission
-		route    routes.Route
-		book     *Book
-		items    []itemState
-		running  map[int]*itemRun
-		changed  chan struct{}
-		pending  chan struct{}
-		first    time.Time
+		head    Head
+		sub     Submission
+		route   routes.Route
+		book    *Book
+		items   []itemState
+		running map[int]*itemRun
+		changed chan struct{}
+		pending chan struct{}
+		first   time.Time
+		// asked is when it was first handed in, by this node's clock; zero if this
+		// node did not see it.
+		asked    time.Time
 		released bool
 		// backup is the node that has what was generated, sent how much of it.
 		backup string
@@ -89,7 +92,11 @@
 
 // due returns when the batch's results are due.
 func (j *job) due() time.Time {
-	return time.UnixMilli(j.head.AcceptedMs).Add(j.route.ResultDeadline)
+	from := j.asked
+	if from.IsZero() {
+		from = time.UnixMilli(j.head.AcceptedMs)
+	}
+	return from.Add(j.route.ResultDeadline)
 }
 
 // finish notes an item's result. The caller holds the lock.
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -136,12 +136,14 @@
 		// fell tells that a batch may have fallen to this node.
 		fell chan struct{}
 
-		mu      sync.Mutex
-		jobs    map[string]*job
-		heads   map[string]*known
-		homes   Homes
-		cache   *cache
-		offers  map[string]Submission
+		mu     sync.Mutex
+		jobs   map[string]*job
+		heads  map[string]*known
+		homes  Homes
+		cache  *cache
+		offers map[string]Submission
+		// asked is when a batch was first handed in, as far as this node saw it.
+		asked   map[string]time.Time
 		rests   *rests
 		leaving bool
 		movedAt time.Time
@@ -162,7 +164,7 @@
 	k := &Keeper{
 		parts: parts, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), fell: make(chan struct{}, 1),
 		jobs: make(map[string]*job), heads: make(map[string]*known), homes: make(Homes),
-		cache: newCache(), offers: make(map[string]Submission), rests: newRests(),
+		cache: newCache(), offers: make(map[string]Submission), asked: make(map[string]time.Time), rests: newRests(),
 	}
 	k.tasks.Go(k.scheduleLoop)
 	k.tasks.Go(k.sweepLoop)
@@ -406,6 +408,7 @@
 		return
 	}
 	k.jobs[j.head.ID] = j
+	j.asked = k.asked[j.head.ID]
 	if whole, begun := k.useRests(j); whole+begun > 0 {
 		event.BatchRests.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("whole", whole), zap.Int("begun", begun))
 	}
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -386,3 +386,40 @@
 		t.Errorf("the end of an unknown batch: %v", err)
 	}
 }
+
+// TestDueSinceTheFirstTry counts the time of a batch from its first try, at the
+// node that accepts it and at the one that keeps it.
+func TestDueSinceTheFirstTry(t *testing.T) {
+	r, store := newRing(), shelf.New()
+	engine := &instant{held: make(map[string]chan struct{})}
+	engine.hold("i0")
+	k, other := newKeeper(t, r, store, engine, "a"), newKeeper(t, r, store, engine, "b")
+	s := submissionOf(t, "s", "i0")
+	store.SetFaults(shelf.Faults{Refuse: true})
+	short, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	before := time.Now()
+	if outcome, ok := k.Accept(short, s).(NotKept); !ok {
+		t.Fatalf("accepted without the store: %v", outcome)
+	}
+	// The first try took a second; it began in the first half of that.
+	tried := before.Add(time.Since(before) / 2)
+	store.SetFaults(shelf.Faults{})
+	k.Accept(t.Context(), s)
+	found := 0
+	for _, keeper := range []*Keeper{k, other} {
+		keeper.mu.Lock()
+		if j := keeper.jobs["s"]; j != nil {
+			found++
+			if due := j.due(); due.Before(before.Add(testLimit)) || due.After(tried.Add(testLimit)) {
+				t.Errorf("due %v after the first try, want %v", due.Sub(before), testLimit)
+			}
+		}
+		at := time.UnixMilli(keeper.heads["s"].head.AcceptedMs)
+		keeper.mu.Unlock()
+		if at.After(tried) {
+			t.Errorf("the head says %v after the first try", at.Sub(before))
+		}
+	}
+	check.Equal(t, "nodes that keep it", found, 1)
+}
--- a/batch/rests.go
+++ b/batch/rests.go
@@ -53,7 +53,7 @@
 		Texts    []string `json:"texts"`
 		Last     int      `json:"last"`
 		Versions []int    `json:"versions"`
-		Whole    bool     `json:"-"`
+		Whole    bool     `json:"whole,omitempty"`
 	}
 )
 
