feat(cmds,relay): why gathers what many nodes say; failures name endpoints

- on a fleet of 66 nodes `why` printed up to 300 lines of state around one request, since each node notes each lost host.

Tests: TestWhy, TestFailureNamesItsEndpoints.

--- a/cmds/why.go
+++ b/cmds/why.go
@@ -20,6 +20,9 @@
 	// whyBefore is how long before the first line on an id the state of nodes and
 	// of the store is shown.
 	whyBefore = 5 * time.Second
+	// whyTogether is within which time the same event counts as one: all nodes of a
+	// fleet note a change within two seconds.
+	whyTogether = 2 * time.Second
 	// maxLogLine bounds one line of a log, in bytes.
 	maxLogLine = 1 << 20
 )
@@ -33,6 +36,8 @@
 	source string
 	name   string
 	fields map[string]any
+	// more is how many other nodes said the same within a short time.
+	more int
 }
 
 func whyCommand() *cli.Command {
@@ -132,7 +137,29 @@
 		}
 	}
 	sort.SliceStable(found, func(i, j int) bool { return found[i].at < found[j].at })
-	return found
+	return gather(found, names)
+}
+
+// gather puts what many nodes say of the same thing into one line: in a large
+// fleet each of them notes each host that is lost.
+func gather(lines []logLine, named func(logLine) bool) []logLine {
+	var gathered []logLine
+	at := make(map[string]int)
+	for _, l := range lines {
+		if named(l) {
+			gathered = append(gathered, l)
+			continue
+		}
+		subject, _ := l.fields["host"].(string)
+		key := l.name + "/" + subject
+		if i, ok := at[key]; ok && l.at-gathered[i].at < float64(whyTogether.Milliseconds()) {
+			gathered[i].more++
+			continue
+		}
+		at[key] = len(gathered)
+		gathered = append(gathered, l)
+	}
+	return gathered
 }
 
 func isState(name string) bool {
@@ -158,6 +185,9 @@
 		for _, key := range keys {
 			parts = append(parts, fmt.Sprintf("%s=%v", key, l.fields[key]))
 		}
+		if l.more > 0 {
+			parts = append(parts, fmt.Sprintf("(and %d more)", l.more))
+		}
 		at := time.UnixMicro(int64(l.at * 1000)).UTC().Format("15:04:05.000")
 		if _, err := fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", at, l.source, l.name, strings.Join(parts, " ")); err != nil {
 			return err
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -51,6 +51,8 @@
 		state   Attempts
 		results chan attemptEnd
 		open    int
+		// sentTo are the endpoints that it was sent to, in order.
+		sentTo []string
 	}
 
 	// cancelling is a stream whose attempts end when it is closed.
@@ -187,6 +189,7 @@
 	x.state.Sent++
 	x.open++
 	target := chosen.Target()
+	x.sentTo = append(x.sentTo, target.ID())
 	x.fleet.Begin(target.ID())
 	go x.attempt(ctx, target)
 	return nil
@@ -261,7 +264,7 @@
 	}
 	event.RequestEnded.Log(r.logger, zap.String("request", request.ID), zap.String("route", route.Name),
 		zap.String("service", x.service), zap.String("outcome", outcome), zap.Int("sent", x.state.Sent),
-		zap.Duration("took", took), zap.Error(cause))
+		zap.Strings("endpoints", x.sentTo), zap.Duration("timeout", route.Timeout), zap.Duration("took", took), zap.Error(cause))
 }
 
 func resultOf(ctx context.Context, reply Reply) fleet.Result {
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/routes"
@@ -61,12 +62,18 @@
 
 // serve runs a request over three endpoints.
 func serve(ctx context.Context, kind routes.Kind, steps ...func(context.Context) Reply) (End, *script) {
+	return serveLogged(ctx, zap.NewNop(), kind, steps...)
+}
+
+func serveLogged(
+	ctx context.Context, logger *zap.Logger, kind routes.Kind, steps ...func(context.Context) Reply,
+) (End, *script) {
 	f := fleet.New(time.Now)
 	for i := range 3 {
 		f.Put(fleet.Entry{ID: fmt.Sprintf("e%d", i), Service: "s", Address: "a:1", Slots: 4})
 	}
 	sender := &script{steps: steps}
-	r := New(f, sender, "a", tally.NoopScope, zap.NewNop())
+	r := New(f, sender, "a", tally.NoopScope, logger)
 	end := r.Serve(ctx, Request{ID: "r", After: -1}, routes.Route{
 		Kind: kind, Shares: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2,
 		Timeout: 400 * time.Millisecond, TargetLatency: 80 * time.Millisecond,
@@ -144,3 +151,20 @@
 		t.Errorf("got %#v", end)
 	}
 }
+
+// TestFailureNamesItsEndpoints logs where a request was sent that ran out of time.
+func TestFailureNamesItsEndpoints(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	_, sender := serveLogged(t.Context(), zap.New(core), routes.NonIdempotent, hang)
+	lines := logs.FilterMessage("request_not_answered").All()
+	if len(lines) != 1 {
+		t.Fatalf("%d lines, want 1", len(lines))
+	}
+	fields := lines[0].ContextMap()
+	if got, want := fmt.Sprint(fields["endpoints"]), fmt.Sprint(sender.sent); got != want {
+		t.Errorf("the line names %s, it was sent to %s", got, want)
+	}
+	if got := fields["timeout"]; got != 400*time.Millisecond {
+		t.Errorf("the line says a timeout of %v", got)
+	}
+}
