test(cmds): the fleet of TestAgainstNodes knows its nodes before it applies

The test now waits until the node knows both, five seconds at most, and then asks for the same as before.

--- a/cmds/apply_test.go
+++ b/cmds/apply_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,6 +15,9 @@
 	"github.com/currantloft/currantloft/fakes/model"
 )
 
+// membersLimit is how soon nodes that start together must know each other.
+const membersLimit = 5 * time.Second
+
 // writeSet writes a declaration for the fleet into a folder.
 func writeSet(t *testing.T, fleet *demo.Fleet, d demo.Declaration) string {
 	t.Helper()
@@ -26,6 +30,27 @@
 	return dir
 }
 
+// awaitMembers waits until a node knows so many that run: apply waits for those
+// that the node it asks knows.
+func awaitMembers(t *testing.T, client *caller.Client, node string, want int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), membersLimit)
+	defer cancel()
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		status, err := client.Status(ctx, node)
+		if err == nil && len(runningNodes(status)) == want {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			t.Fatalf("%d nodes are known within %v, want %d: %v", len(runningNodes(status)), membersLimit, want, err)
+		case <-ticker.C:
+		}
+	}
+}
+
 func TestAgainstNodes(t *testing.T) {
 	ctx := context.Background()
 	fleet, err := demo.StartFleet(ctx, demo.Size{
@@ -42,6 +67,7 @@
 	if _, err := fleet.Apply(ctx, client, "first", 0, d); err != nil {
 		t.Fatal(err)
 	}
+	awaitMembers(t, client, node, 2)
 	d.MaxTokens = 20
 	dir := writeSet(t, fleet, d)
 	steps := []struct {
