--- a/orders/search_test.go
+++ b/orders/search_test.go
@@ -26,8 +26,10 @@
 // two nodes: never do two hold the lease, and each epoch has one holder.
 func TestAllShortSequences(t *testing.T) {
 	steps := []step{
-		{name: "a takes", node: 0}, {name: "b takes", node: 1},
-		{name: "a takes, answer lost", node: 0, lost: true}, {name: "b takes, answer lost", node: 1, lost: true},
+		{name: "a takes", node: 0},
+		{name: "b takes", node: 1},
+		{name: "a takes, answer lost", node: 0, lost: true},
+		{name: "b takes, answer lost", node: 1, lost: true},
 		{name: "the margin", node: -1, pause: leaseMargin},
 		{name: "nearly a lease", node: -1, pause: testLease - leaseMargin/2},
 		{name: "a lease and more", node: -1, pause: testLease + testThaw},
