fix(batch): a resend of a known batch is not its first try

Found when reading the change as a newcomer: others resend batches seconds after their 202 at any node; one that later takes the batch over counted its due time from the resend, so that results near the true due time could wait a second. Comments of batch/begun.go in plainer words.

Test: TestDueSinceTheFirstTry has the case, failing before.

--- a/batch/begun.go
+++ b/batch/begun.go
@@ -18,8 +18,8 @@
 
 const (
 	// saveInterval is how often what runs is saved in the store, which is what the
-	// end of all nodes at once loses at most; a call costs as much as a hundredth
-	// of an item, and the longest items run for seven seconds.
+	// end of all nodes at once loses at most: the longest items run for seven
+	// seconds, and each save is a call.
 	saveInterval = 2 * time.Second
 	// saveEvents is how many events make an item worth saving, and how many new
 	// ones a batch: fewer than a second's.
@@ -30,8 +30,8 @@
 	saveShare = 0.6
 )
 
-// saveLoop saves in the store what runs here, for the end of all nodes at once:
-// the nodes that hold each other's progress go together then.
+// saveLoop saves in the store what runs here. Backups at other nodes cover the
+// loss of some; this covers the loss of all.
 func (k *Keeper) saveLoop() {
 	for waits.For(k.ctx, saveInterval) == nil {
 		k.save(k.ctx)
@@ -112,8 +112,8 @@
 	return list
 }
 
-// saveOne writes a batch's progress. Whoever writes last is right enough: each
-// state is the beginning of what was generated.
+// saveOne writes a batch's progress. Writes need no order: each state is a prefix
+// of what was generated.
 func (k *Keeper) saveOne(ctx context.Context, id string, list []Rest, again bool) error {
 	spec, err := json.Marshal(list)
 	if err != nil {
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -48,8 +48,10 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptWait)
 	defer cancel()
 	k.mu.Lock()
-	h := k.heads[s.ID]
-	first := k.firstAsked(s.ID, begun)
+	h, first := k.heads[s.ID], begun
+	if h == nil {
+		first = k.firstAsked(s.ID, begun)
+	}
 	k.mu.Unlock()
 	if h != nil {
 		event.BatchAgain.Log(k.parts.Logger, zap.String("batch", s.ID))
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -422,4 +422,12 @@
 		}
 	}
 	check.Equal(t, "nodes that keep it", found, 1)
+	third := newKeeper(t, r, store, engine, "c")
+	third.Learn(Notice{Head: Head{ID: "s", AcceptedMs: before.UnixMilli()}})
+	third.Accept(t.Context(), s)
+	third.mu.Lock()
+	defer third.mu.Unlock()
+	if _, ok := third.asked["s"]; ok {
+		t.Error("a resend of a batch that is known counts as its first try")
+	}
 }
