--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -161,7 +161,10 @@
 		t.Fatalf("%d lines, want 1", len(lines))
 	}
 	fields := lines[0].ContextMap()
-	if got, want := fmt.Sprint(fields["endpoints"]), fmt.Sprint(sender.sent); got != want {
+	sender.mu.Lock()
+	want := fmt.Sprint(sender.sent)
+	sender.mu.Unlock()
+	if got := fmt.Sprint(fields["endpoints"]); got != want {
 		t.Errorf("the line names %s, it was sent to %s", got, want)
 	}
 	if got := fields["timeout"]; got != 400*time.Millisecond {
