fix(poison): other nodes know of a crash before the caller does

Cause: the quarantine of a request reached other nodes with a push, 20 ms and more after the second crash. A caller that had its failed answer was back at another node sooner, and that node let the request cost a third endpoint. Known red test TestCrashingRequestIsContained.

Telling all at the first crash of each in-flight request: costs calls for innocents that are served on retry, so only a request that ends failed waits.

Conclusion: before a failed answer the node tells all others and waits, 250 ms at most.

--- a/entry/plain.go
+++ b/entry/plain.go
@@ -41,6 +41,8 @@
 		held    *claim.Held
 		written bool
 		fresh   bool
+		// crashed is set once an endpoint crashed with the request in flight.
+		crashed bool
 	}
 
 	// plainAnswer is an endpoint's whole answer.
@@ -127,6 +129,9 @@
 		if c.held != nil && !c.written {
 			c.held.Release(context.WithoutCancel(ctx))
 		}
+		if c.crashed {
+			c.server.parts.Ward.Spread(ctx)
+		}
 		if final != nil {
 			return nil, final
 		}
@@ -167,6 +172,7 @@
 			c.ask.Exclude = append(c.ask.Exclude, place.Endpoint())
 		}
 		if outcome == wirepb.Outcome_OUTCOME_CRASHED {
+			c.crashed = true
 			parts.Ward.Crashed(c.ask.Fingerprint, c.ask.Alone)
 		}
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -49,6 +49,7 @@
 	RequestSuspect  = define(404, "request_suspect", zapcore.WarnLevel)
 	RequestBarred   = define(405, "request_quarantined", zapcore.ErrorLevel)
 	CellUnreachable = define(406, "cell_keeper_unreachable", zapcore.WarnLevel)
+	SuspectsSpread  = define(407, "suspects_spread", zapcore.InfoLevel)
 
 	EndpointReady   = define(500, "endpoint_ready", zapcore.InfoLevel)
 	EndpointDown    = define(501, "endpoint_down", zapcore.WarnLevel)
--- a/member/beat.go
+++ b/member/beat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -133,6 +134,31 @@
 	return nil
 }
 
+// Tell sends facts to all other nodes at once and returns when each has answered
+// or ctx has ended. Of nodes that don't answer the pushes take care.
+func (m *Members) Tell(ctx context.Context, list []*wirepb.Fact) (reached, asked int) {
+	var (
+		group errgroup.Group
+		heard atomic.Int64
+	)
+	group.SetLimit(tellsAtOnce)
+	for _, n := range m.View().Alive() {
+		if n.Name() == m.config.Self.GetName() {
+			continue
+		}
+		asked++
+		group.Go(func() error {
+			call := &wirepb.Exchange{From: m.config.Self.GetName(), Facts: list, Tell: true}
+			if _, err := m.exchangeWith(ctx, n.PeerAddress(), call); err == nil {
+				heard.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return int(heard.Load()), asked
+}
+
 func (m *Members) exchangeWith(ctx context.Context, address string, call *wirepb.Exchange) (*wirepb.ExchangeReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Interval)
 	defer cancel()
@@ -155,6 +181,9 @@
 	m.refuteDeath()
 	since := call.GetSince()
 	incarnation := m.life()
+	if call.GetTell() {
+		return &wirepb.ExchangeReply{From: m.config.Self.GetName(), Incarnation: incarnation}
+	}
 	if call.GetSinceIncarnation() != incarnation {
 		since = 0
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -46,6 +46,9 @@
 	indirectProbes  = 2
 	suspensionGap   = 3
 	watchTickFactor = 4
+	// tellsAtOnce bounds the calls in flight of one Tell; 32 cover the target
+	// of 320 nodes in ten rounds.
+	tellsAtOnce = 32
 )
 
 type (
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -6,6 +6,10 @@
 // at one request: one that was in flight at two crashes, the second time as
 // the only suspect, is quarantined and gets its final answer at once.
 //
+// A push takes some milliseconds, and a caller with a failed answer in hand may
+// be back at another node sooner. So a node that ends a request after a crash
+// tells all others first and waits for them, for spreadLimit at most.
+//
 // # Usage
 //
 //	ward := poison.New(members, store, logger)
@@ -13,15 +17,21 @@
 //	case poison.Quarantined: // final answer
 //	case poison.Suspect: // run alone
 //	}
+//	ward.Crashed(fingerprint, sole)
+//	ward.Spread(ctx) // before the request's failure is answered
 package poison
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/facts"
@@ -44,6 +54,9 @@
 	suspectLife    = 15 * time.Minute
 	crashesToBar   = 2
 	versionPerUnit = 1 << 8
+	// spreadLimit bounds how long a failed answer waits until other nodes know
+	// of the crash; a frozen node must not hold it up for longer.
+	spreadLimit = 250 * time.Millisecond
 )
 
 // Ward judges requests at one node. It is safe for concurrent use.
@@ -51,12 +64,23 @@
 	members *member.Members
 	store   *facts.Store
 	logger  *zap.Logger
-	mu      sync.Mutex
+	// spreading is held by the one call of Spread that sends.
+	spreading *semaphore.Weighted
+
+	mu sync.Mutex
+	// fresh holds what Crashed noted and Spread has not yet sent.
+	fresh map[string]*wirepb.Fact
 }
 
 // New returns a ward over the node's facts.
 func New(members *member.Members, store *facts.Store, logger *zap.Logger) *Ward {
-	return &Ward{members: members, store: store, logger: logger}
+	return &Ward{
+		members:   members,
+		store:     store,
+		logger:    logger,
+		spreading: semaphore.NewWeighted(1),
+		fresh:     make(map[string]*wirepb.Fact),
+	}
 }
 
 // Fingerprint identifies a request to a backend by its content.
@@ -104,12 +128,37 @@
 		kind = event.RequestBarred
 	}
 	kind.Log(w.logger, zap.Uint64("fingerprint", fingerprint), zap.Uint32("crashes", next.GetCrashes()))
-	w.members.Publish(&wirepb.Fact{
+	fact := &wirepb.Fact{
 		Key:         key(fingerprint),
 		Version:     uint64(next.GetAlone())*versionPerUnit + uint64(next.GetCrashes()),
 		RemainingMs: suspectLife.Milliseconds(),
 		Value:       &wirepb.Fact_Suspect{Suspect: next},
-	})
+	}
+	w.members.Publish(fact)
+	w.fresh[fact.GetKey()] = fact
+}
+
+// Spread returns when all nodes that answer know of the crashes noted here, or
+// after spreadLimit. Calls that come while one is sending share the next one.
+func (w *Ward) Spread(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadLimit)
+	defer cancel()
+	if err := w.spreading.Acquire(ctx, 1); err != nil {
+		event.SuspectsSpread.Log(w.logger, zap.Error(err))
+		return
+	}
+	defer w.spreading.Release(1)
+	w.mu.Lock()
+	list := slices.Collect(maps.Values(w.fresh))
+	clear(w.fresh)
+	w.mu.Unlock()
+	if len(list) == 0 {
+		return
+	}
+	begun := time.Now()
+	reached, asked := w.members.Tell(ctx, list)
+	event.SuspectsSpread.Log(w.logger, zap.Int("suspects", len(list)), zap.Int("nodes", asked),
+		zap.Int("reached", reached), zap.Duration("took", time.Since(begun)))
 }
 
 // Counts returns how many suspects and quarantined requests the node knows.
--- a/route/route.go
+++ b/route/route.go
@@ -92,6 +92,8 @@
 		exclude   []string
 		held      *claim.Held
 		written   bool
+		// crashed is set once an endpoint crashed with the request in flight.
+		crashed bool
 	}
 )
 
@@ -140,17 +142,24 @@
 			return x.result, nil
 		}
 		var final *Error
-		if errors.As(err, &final) {
-			x.giveBackClaim(ctx)
-			return x.result, final
+		if !errors.As(err, &final) {
+			err = x.waitToRetry(ctx, err)
 		}
-		if err := x.waitToRetry(ctx, err); err != nil {
-			x.giveBackClaim(ctx)
+		if err != nil {
+			x.giveUp(ctx)
 			return x.result, err
 		}
 	}
 }
 
+// giveUp does what must be done before a caller learns that the request failed.
+func (x *run) giveUp(ctx context.Context) {
+	x.giveBackClaim(ctx)
+	if x.crashed {
+		x.ward.Spread(ctx)
+	}
+}
+
 // try makes one attempt. An *Error is final, any other may be tried again.
 func (x *run) try(ctx context.Context) error {
 	x.result.attempts++
@@ -236,6 +245,7 @@
 		x.exclude = append(x.exclude, place.Endpoint())
 		return err
 	case engine.FateCrashed:
+		x.crashed = true
 		x.ward.Crashed(x.job.Ask.Fingerprint, ask.Alone)
 	case engine.FateCancelled:
 		x.client.Cancel(ctx, place.URL(), x.result.stream)
