feat(relay): a request that crashes endpoints is refused after three

The edge had no answer to that: poison was only wired into the product's own interface.

Change: a poison.Ledger at each node counts crashes by content, at most one for endpoints that crash at once; a crash is an attempt without a byte of answer whose endpoint refuses connections. Told to all nodes at once, barred contents also with answers to hellos. Items end as errored after three endpoints without an event.

Ruled out: counting every lost attempt (resets, garbled and missing answers are common here); running suspects alone (no node gives out all places here); 422 (a wrong alarm would forbid the caller to come back).

--- a/batch/job.go
+++ b/batch/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,6 +61,9 @@
 		since  time.Time
 		// moved says that it was stopped to go on elsewhere.
 		moved bool
+		// begun says that an event came, crashed that the endpoint ended before one.
+		begun   atomic.Bool
+		crashed bool
 	}
 
 	// itemState is what is known of an item that has no result.
@@ -69,8 +73,10 @@
 		versions []int
 		errors   int
 		failures int
-		avoid    string
-		after    time.Time
+		// crashes counts endpoints that ended under the item since its last event.
+		crashes int
+		avoid   string
+		after   time.Time
 	}
 )
 
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -113,7 +113,9 @@
 		ValueBytes  int
 		Fleet       *fleet.Fleet
 		Engine      Engine
-		Peers       Peers
+		// Gone reports whether an endpoint's process has ended.
+		Gone  func(ctx context.Context, target fleet.Target) bool
+		Peers Peers
 		// First reports whether this node has the duties of one node.
 		First func() bool
 		// Keep is for how long results can be read.
--- a/batch/run.go
+++ b/batch/run.go
@@ -32,6 +32,9 @@
 	failurePause = 30 * time.Millisecond
 	// maxFailurePause bounds that.
 	maxFailurePause = time.Second
+	// crashesAllowed is how many endpoints an item may crash one after another
+	// before an event of it comes; the platform's rules count from the third.
+	crashesAllowed = 3
 	// statusGone is what an endpoint answers for an item that can't ever be done.
 	statusGone = http.StatusUnprocessableEntity
 )
@@ -219,21 +222,20 @@
 	k.parts.Fleet.Begin(target.ID())
 	k.tasks.Go(func() {
 		defer cancel()
-		reply, err := k.runItem(ctx, cancel, j, i, target)
+		reply, err := k.runItem(ctx, j, i, r)
 		k.parts.Fleet.End(target.ID(), runResult(ctx, reply, err))
+		r.crashed = k.crashed(ctx, r, reply, err)
 		k.after(ctx, j, i, r, reply, err)
 	})
 }
 
 // runItem sends an item to an endpoint and reads its events to the end.
-func (k *Keeper) runItem(
-	ctx context.Context, cancel context.CancelFunc, j *job, i int, target fleet.Target,
-) (relay.Reply, error) {
-	it := &j.sub.Items[i]
+func (k *Keeper) runItem(ctx context.Context, j *job, i int, r *itemRun) (relay.Reply, error) {
+	it, target := &j.sub.Items[i], r.target
 	k.mu.Lock()
 	last := j.items[i].last
 	k.mu.Unlock()
-	watchdog := time.AfterFunc(firstLimit, cancel)
+	watchdog := time.AfterFunc(firstLimit, r.cancel)
 	defer watchdog.Stop()
 	reply := k.parts.Engine.Send(ctx, target, relay.Request{
 		ID: it.ID, Host: j.head.Host, Method: http.MethodPost, Target: it.Path, Header: it.Header,
@@ -250,11 +252,24 @@
 	if !answer.Signed {
 		return reply, errUnsignedRun
 	}
-	r := &reading{keeper: k, job: j, item: i, target: target, version: answer.Version, watchdog: watchdog}
-	if err := r.admit(answer.Version); err != nil {
+	in := &reading{keeper: k, job: j, item: i, run: r, version: answer.Version, watchdog: watchdog}
+	if err := in.admit(answer.Version); err != nil {
 		return reply, err
 	}
-	return reply, k.parts.Engine.ReadEvents(answer.Body, r.event)
+	return reply, k.parts.Engine.ReadEvents(answer.Body, in.event)
+}
+
+// crashed reports whether a run ended with its endpoint's process before an event
+// of the item came.
+func (k *Keeper) crashed(ctx context.Context, r *itemRun, reply relay.Reply, err error) bool {
+	if err == nil || ctx.Err() != nil || r.begun.Load() {
+		return false
+	}
+	answer, ok := reply.(relay.Answer)
+	_, lost := reply.(relay.Lost)
+	refused := errors.Is(err, errOldVersion) || errors.Is(err, errMixed) || errors.Is(err, errUnsignedRun)
+	cut := ok && answer.Status == http.StatusOK && !refused
+	return (lost || cut) && k.parts.Gone(ctx, r.target)
 }
 
 // reading is the state of one stream that is read.
@@ -262,7 +277,7 @@
 	keeper   *Keeper
 	job      *job
 	item     int
-	target   fleet.Target
+	run      *itemRun
 	version  int
 	at       time.Time
 	watchdog *time.Timer
@@ -274,7 +289,7 @@
 		return nil
 	}
 	k, j := r.keeper, r.job
-	k.parts.Fleet.SawVersion(r.target.ID(), j.sub.Model, version)
+	k.parts.Fleet.SawVersion(r.run.target.ID(), j.sub.Model, version)
 	if version < j.sub.MinVersion {
 		return errOldVersion
 	}
@@ -305,9 +320,11 @@
 		return fmt.Errorf("%w: event %d after %d", errGap, e.ID, state.last)
 	}
 	if !r.at.IsZero() {
-		k.parts.Fleet.Paced(r.target.ID(), now.Sub(r.at))
+		k.parts.Fleet.Paced(r.run.target.ID(), now.Sub(r.at))
 	}
 	r.at = now
+	r.run.begun.Store(true)
+	state.crashes = 0
 	state.last = e.ID
 	state.texts = append(state.texts, e.Data)
 	if r.version != 0 && !slices.Contains(state.versions, r.version) {
@@ -347,8 +364,15 @@
 	state.after = time.Now().Add(min(maxFailurePause, failurePause*time.Duration(state.failures)))
 	event.ItemRunFailed.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
 		zap.String("endpoint", target.ID()), zap.Int("events", len(state.texts)),
-		zap.Bool("stalled", ctx.Err() != nil), zap.Error(err))
+		zap.Bool("stalled", ctx.Err() != nil), zap.Bool("crashed", r.crashed), zap.Error(err))
 	k.parts.Scope.Counter("item_failures").Inc(1)
+	if r.crashed {
+		state.crashes++
+		if state.crashes >= crashesAllowed {
+			k.giveUp(j, i, "it crashed endpoints")
+			return
+		}
+	}
 	answer, ok := reply.(relay.Answer)
 	if !ok {
 		return
--- a/edge/admin.go
+++ b/edge/admin.go
@@ -32,6 +32,8 @@
 		Orders orders.State `json:"orders"`
 		// Store counts its calls of the platform's store.
 		Store StoreState `json:"store"`
+		// Refused counts the requests that are not run since they crash endpoints.
+		Refused int `json:"refused"`
 		// Dials counts connections that were opened to endpoints.
 		Dials int64 `json:"dials"`
 		// Goroutines counts them, HeapBytes is the memory in use.
@@ -99,7 +101,7 @@
 	return State{
 		Status: e.status(), Leaving: e.leaving.Load(), Rank: rank, Endpoints: e.fleet.All(),
 		Batches: e.keeper.Dump(), Orders: e.giver.Dump(),
-		Store: StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
-		Dials: e.sender.Dials(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
+		Store:   StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
+		Refused: len(e.suspects.ledger.Refused()), Dials: e.sender.Dials(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -79,6 +79,7 @@
 		giver    *orders.Giver
 		table    atomic.Pointer[routes.Table]
 		others   *others
+		suspects *suspects
 		mirror   *mirror.Mirror
 		// lapse is until when removed entries may come back; the mirror's lock
 		// guards it.
@@ -108,10 +109,16 @@
 	e.others = &others{Roster: e.roster, pool: e.pool, logger: logger}
 	e.store.SetDetour(e.others.detour)
 	e.roster.OnDead(e.others.lost)
-	e.relay = relay.New(e.fleet, e.sender, settings.Domain(), e.meter.Scope(), logger)
+	e.suspects = newSuspects(e.others, logger)
+	e.roster.Carry(e.suspects)
+	e.relay = relay.New(relay.Parts{
+		Fleet: e.fleet, Sender: e.sender, Suspects: e.suspects,
+		Domain: settings.Domain(), Scope: e.meter.Scope(), Logger: logger,
+	})
 	e.keeper = batch.New(batch.Parts{
 		Name: self.Name, Incarnation: self.Incarnation, Store: e.store, ValueBytes: settings.StoreValueBytes(),
-		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: e.others, First: e.first, Keep: settings.Keep(), Routes: e.table.Load,
+		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Gone: e.suspects.gone, Peers: e.others, First: e.first,
+		Keep: settings.Keep(), Routes: e.table.Load,
 		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.giver = orders.New(orders.Parts{
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,10 +68,11 @@
 	return len(names), max(1, len(names))
 }
 
-// toAll sends a frame to all other nodes and doesn't wait.
-func (o *others) toAll(call *wirepb.Frame) {
+// toAll sends a frame to all other nodes; what it returns waits for their answers.
+func (o *others) toAll(call *wirepb.Frame) *sync.WaitGroup {
+	var calls sync.WaitGroup
 	for _, h := range o.Others() {
-		go func() {
+		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), noticeLimit)
 			defer cancel()
 			_, err := o.pool.Do(ctx, h.Peers, call)
@@ -80,8 +82,9 @@
 			if err != nil {
 				event.HostNotTold.Log(o.logger, zap.String("host", h.Name), zap.Error(err))
 			}
-		}()
+		})
 	}
+	return &calls
 }
 
 // ReadAt reads results at another node.
@@ -200,6 +203,9 @@
 	case *wirepb.Frame_HostLost:
 		e.roster.Lost(ctx, body.HostLost.GetName(), body.HostLost.GetIncarnation())
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
+	case *wirepb.Frame_Suspects:
+		e.suspects.Learn(body.Suspects.GetList())
+		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Learn(decodeNotice(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
--- a/event/event.go
+++ b/event/event.go
@@ -50,6 +50,8 @@
 	RequestBarred   = define(405, "request_quarantined", zapcore.ErrorLevel)
 	CellUnreachable = define(406, "cell_keeper_unreachable", zapcore.WarnLevel)
 	SuspectsSpread  = define(407, "suspects_spread", zapcore.InfoLevel)
+	SuspectLearned  = define(408, "suspect_learned", zapcore.InfoLevel)
+	RequestCleared  = define(409, "request_cleared", zapcore.InfoLevel)
 
 	EndpointReady   = define(500, "endpoint_ready", zapcore.InfoLevel)
 	EndpointDown    = define(501, "endpoint_down", zapcore.WarnLevel)
--- a/relay/decide.go
+++ b/relay/decide.go
@@ -1,6 +1,11 @@
 package relay
 
-import "time"
+import (
+	"errors"
+	"time"
+)
+
+var errCrashes = errors.New("the request crashed endpoints before")
 
 // Step says what follows an attempt that brought no answer.
 type Step int
@@ -72,6 +77,16 @@
 // by the answer of another.
 func (a *Attempts) AnotherAfterError() bool { return a.Repeatable && a.ran() < a.Most }
 
+// Barred returns what the caller of a request that crashes endpoints is told: one
+// that asks again after any failure is told when, another only that it failed,
+// since it may have run before.
+func (a *Attempts) Barred(left time.Duration) End {
+	if a.Repeatable && !a.MayHaveRun {
+		return Refused{RetryAfter: left, Cause: errCrashes}
+	}
+	return Failed{Cause: errCrashes}
+}
+
 // End returns what the caller is told once no attempt is left.
 func (a *Attempts) End(cause error) End {
 	switch {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	r := relay.New(fleet, sender, domain, logger)
+//	r := relay.New(relay.Parts{Fleet: fleet, Sender: sender, Suspects: suspects, ...})
 //	switch end := r.Serve(ctx, request, route).(type) {
 //	case relay.Whole: // pass the answer on
 //	case relay.Refused: // it has not run and never will
@@ -36,6 +36,9 @@
 		Deadline time.Time
 		// After is the last event that was received, -1 to begin at the start.
 		After int
+		// Caller tells callers apart by what they say of themselves, the same for
+		// each attempt.
+		Caller uint64
 	}
 
 	// Reply is what became of one attempt at an endpoint: Answer, NotRun or Lost.
@@ -75,6 +78,20 @@
 		Send(ctx context.Context, target fleet.Target, request Request) Reply
 	}
 
+	// Suspects knows the requests that crash endpoints.
+	Suspects interface {
+		// Crashes returns how many endpoints a request has crashed one after another.
+		Crashes(request Request) int
+		// Barred reports whether a request is not run any more, and for how long.
+		Barred(request Request) (time.Duration, bool)
+		// BrokeOff tells of an attempt that ended without a byte of its answer and
+		// began when the count was atStart. What it returns is closed once other
+		// nodes know, soon also if some can't be reached; nil if there is no news.
+		BrokeOff(ctx context.Context, target fleet.Target, request Request, atStart int) <-chan struct{}
+		// Answered tells of an answer to a request with crashes.
+		Answered(request Request)
+	}
+
 	// End is what the caller is told: Whole, Refused or Failed.
 	End interface{ end() }
 
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -33,13 +33,25 @@
 )
 
 type (
+	// Parts is what a relay works with.
+	Parts struct {
+		Fleet    *fleet.Fleet
+		Sender   Sender
+		Suspects Suspects
+		// Domain is the node's failure domain.
+		Domain string
+		Scope  tally.Scope
+		Logger *zap.Logger
+	}
+
 	// Relay serves requests at one node.
 	Relay struct {
-		fleet  *fleet.Fleet
-		sender Sender
-		domain string
-		logger *zap.Logger
-		scope  tally.Scope
+		fleet    *fleet.Fleet
+		sender   Sender
+		suspects Suspects
+		domain   string
+		logger   *zap.Logger
+		scope    tally.Scope
 	}
 
 	// run is the state of one request.
@@ -53,6 +65,14 @@
 		open    int
 		// sentTo are the endpoints that it was sent to, in order.
 		sentTo []string
+		told   <-chan struct{}
+	}
+
+	// watched is a stream whose end tells of crashes.
+	watched struct {
+		io.ReadCloser
+		ended func(bytes int, err error)
+		bytes int
 	}
 
 	// cancelling is a stream whose attempts end when it is closed.
@@ -66,6 +86,8 @@
 		target fleet.Target
 		reply  Reply
 		body   []byte
+		// told is closed once other nodes know of a crash, nil without one.
+		told <-chan struct{}
 	}
 )
 
@@ -80,9 +102,22 @@
 	return c.ReadCloser.Close()
 }
 
-// New returns a relay of a node in the given failure domain.
-func New(f *fleet.Fleet, sender Sender, domain string, scope tally.Scope, logger *zap.Logger) *Relay {
-	return &Relay{fleet: f, sender: sender, domain: domain, logger: logger, scope: scope}
+// Read notes how the stream ends.
+func (w *watched) Read(buffer []byte) (int, error) {
+	n, err := w.ReadCloser.Read(buffer)
+	w.bytes += n
+	if err != nil {
+		w.ended(w.bytes, err)
+	}
+	return n, err
+}
+
+// New returns a relay.
+func New(parts Parts) *Relay {
+	return &Relay{
+		fleet: parts.Fleet, sender: parts.Sender, suspects: parts.Suspects,
+		domain: parts.Domain, logger: parts.Logger, scope: parts.Scope,
+	}
 }
 
 // Serve runs a request until it is answered or given up. The context ends when
@@ -106,6 +141,10 @@
 	}
 	end := x.run(ctx)
 	whole, ok := end.(Whole)
+	if !ok && x.told != nil {
+		// The caller may be back through another node within a millisecond.
+		<-x.told
+	}
 	if ok && whole.Stream != nil {
 		whole.Stream = &cancelling{ReadCloser: whole.Stream, cancel: cancel}
 		end = whole
@@ -133,6 +172,9 @@
 			}
 		case done := <-x.results:
 			x.open--
+			if done.told != nil {
+				x.told = done.told
+			}
 			if end := x.conclude(ctx, done); end != nil {
 				return end
 			}
@@ -177,6 +219,9 @@
 
 // start sends the request to one more endpoint, or returns the final answer.
 func (x *run) start(ctx context.Context) End {
+	if left, barred := x.suspects.Barred(x.request); barred {
+		return x.state.Barred(left)
+	}
 	states := x.fleet.Serving(x.service)
 	chosen, ok := fleet.Pick(states, x.domain, x.state.Exclude, rand.IntN(len(states)+1))
 	if !ok && len(states) > 0 && x.state.Repeatable {
@@ -197,13 +242,49 @@
 
 // attempt sends the request and reads a short answer whole.
 func (x *run) attempt(ctx context.Context, target fleet.Target) {
+	crashes := x.suspects.Crashes(x.request)
 	reply := x.sender.Send(ctx, target, x.request)
 	var body []byte
 	if answer, ok := reply.(Answer); ok {
 		body, reply = x.collect(answer)
 	}
 	x.fleet.End(target.ID(), resultOf(ctx, reply))
-	x.results <- attemptEnd{target: target, reply: reply, body: body}
+	var told <-chan struct{}
+	switch r := reply.(type) {
+	case Lost:
+		told = x.brokeOff(ctx, target, crashes)
+	case Answer:
+		if r.Body != nil {
+			r.Body = &watched{ReadCloser: r.Body, ended: func(bytes int, err error) {
+				if errors.Is(err, io.EOF) {
+					x.answered(crashes)
+				} else if bytes == 0 {
+					if told := x.brokeOff(ctx, target, crashes); told != nil {
+						<-told
+					}
+				}
+			}}
+			reply = r
+		} else if r.Signed {
+			x.answered(crashes)
+		}
+	}
+	x.results <- attemptEnd{target: target, reply: reply, body: body, told: told}
+}
+
+// brokeOff tells of an attempt that ended without a byte of its answer.
+func (x *run) brokeOff(ctx context.Context, target fleet.Target, crashes int) <-chan struct{} {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return x.suspects.BrokeOff(ctx, target, x.request, crashes)
+}
+
+// answered clears a request that had crashes.
+func (x *run) answered(crashes int) {
+	if crashes > 0 {
+		x.suspects.Answered(x.request)
+	}
 }
 
 // collect reads a short answer; a long or streamed one is left to its reader.
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -68,12 +68,23 @@
 func serveLogged(
 	ctx context.Context, logger *zap.Logger, kind routes.Kind, steps ...func(context.Context) Reply,
 ) (End, *script) {
+	return serveParts(ctx, Parts{Suspects: newGone(), Logger: logger}, kind, steps...)
+}
+
+func serveWith(
+	ctx context.Context, suspects Suspects, kind routes.Kind, steps ...func(context.Context) Reply,
+) (End, *script) {
+	return serveParts(ctx, Parts{Suspects: suspects, Logger: zap.NewNop()}, kind, steps...)
+}
+
+func serveParts(ctx context.Context, parts Parts, kind routes.Kind, steps ...func(context.Context) Reply) (End, *script) {
 	f := fleet.New(time.Now)
 	for i := range 3 {
 		f.Put(fleet.Entry{ID: fmt.Sprintf("e%d", i), Service: "s", Address: "a:1", Slots: 4})
 	}
 	sender := &script{steps: steps}
-	r := New(f, sender, "a", tally.NoopScope, logger)
+	parts.Fleet, parts.Sender, parts.Domain, parts.Scope = f, sender, "a", tally.NoopScope
+	r := New(parts)
 	end := r.Serve(ctx, Request{ID: "r", After: -1}, routes.Route{
 		Kind: kind, Shares: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2,
 		Timeout: 400 * time.Millisecond, TargetLatency: 80 * time.Millisecond,
--- a/roster/hello.go
+++ b/roster/hello.go
@@ -117,6 +117,9 @@
 	for _, info := range reply.GetHosts() {
 		r.learn(hostOf(info))
 	}
+	if r.extra != nil {
+		r.extra.Learn(reply.GetRefused())
+	}
 }
 
 func (r *Roster) failed(h Host, err error) {
@@ -143,6 +146,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := &wirepb.HelloReply{From: infoOf(r.self)}
+	if r.extra != nil {
+		reply.Refused = r.extra.Refused()
+	}
 	if r.digest() == hello.GetDigest() {
 		return reply
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -62,6 +62,14 @@
 )
 
 type (
+	// Extra is what answers to hellos carry beside the nodes.
+	Extra interface {
+		// Refused returns the requests that the node does not run any more.
+		Refused() []*wirepb.Suspect
+		// Learn takes those of another node.
+		Learn(refused []*wirepb.Suspect)
+	}
+
 	// Host is what is known of a node.
 	Host struct {
 		Name        string `json:"name"`
@@ -81,6 +89,7 @@
 		pool   *peers.Pool
 		logger *zap.Logger
 		onDead func(Host)
+		extra  Extra
 
 		mu   sync.Mutex
 		self Host
@@ -108,6 +117,9 @@
 // OnDead sets what is called when a node is found dead. It must be set before Run.
 func (r *Roster) OnDead(call func(Host)) { r.onDead = call }
 
+// Carry sets what answers to hellos carry. It must be set before Run and Serve.
+func (r *Roster) Carry(extra Extra) { r.extra = extra }
+
 // Run registers the node and keeps the roster until the context ends.
 func (r *Roster) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
