perf(fleet): items pass over engines that change their weights, by model

A refusal paused the engine for 0.2 s for all models, so one load of 0.9 s met four rounds of refusals, while other models' items stayed away from it for nothing.

Change: a refusal with a load that has room means a change of that model's weights; its items stay away 0.6 s or until the entry or an answer shows another version, others go on there.

--- a/batch/plan.go
+++ b/batch/plan.go
@@ -236,7 +236,7 @@
 	for i := range seats {
 		s := &seats[i]
 		crowded := float64(s.state.Busy()) >= fill(w.Events)*float64(s.state.Entry.Slots)
-		if s.free <= 0 || crowded || s.state.Paused || s.state.Loading || !fits(w, s.state.Entry) {
+		if s.free <= 0 || crowded || s.state.Paused || s.state.Full || !fits(w, s.state) {
 			continue
 		}
 		crowd := 1 + perRunning*float64(s.state.Busy())
@@ -274,9 +274,9 @@
 }
 
 // fits reports whether an endpoint's weights may generate for the item.
-func fits(w Waiting, entry fleet.Entry) bool {
-	version, ok := entry.Versions[w.Model]
-	if !ok || version < w.MinVersion {
+func fits(w Waiting, state fleet.State) bool {
+	version, ok := state.Entry.Versions[w.Model]
+	if !ok || version < w.MinVersion || state.Changing == w.Model {
 		return false
 	}
 	return w.Only == 0 || version == w.Only
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -46,6 +46,15 @@
 		got := placements([]Waiting{waitingItem(0, "a", 5)}, []fleet.State{engineState("old", 1, 0, fast)})
 		check.Equal(t, "places", got, map[int]string{})
 	})
+	t.Run("changing weights serve other models only", func(t *testing.T) {
+		changing := engineState("changing", 2, 0, fast)
+		changing.Changing = testModel
+		got := placements([]Waiting{waitingItem(0, "a", 5)}, []fleet.State{changing})
+		check.Equal(t, "places", got, map[int]string{})
+		changing.Changing = "another"
+		got = placements([]Waiting{waitingItem(0, "a", 5)}, []fleet.State{changing})
+		check.Equal(t, "places", got, map[int]string{0: "changing"})
+	})
 	t.Run("a full endpoint gets nothing", func(t *testing.T) {
 		got := placements([]Waiting{waitingItem(0, "a", 5)}, []fleet.State{engineState("full", 2, testSlots, fast)})
 		check.Equal(t, "places", got, map[int]string{})
--- a/batch/run.go
+++ b/batch/run.go
@@ -223,7 +223,11 @@
 	k.tasks.Go(func() {
 		defer cancel()
 		reply, err := k.runItem(ctx, j, i, r)
-		k.parts.Fleet.End(target.ID(), runResult(ctx, reply, err))
+		if refused, ok := reply.(relay.NotRun); ok && refused.Full {
+			k.parts.Fleet.Refuse(target.ID(), j.sub.Model)
+		} else {
+			k.parts.Fleet.End(target.ID(), runResult(ctx, reply, err))
+		}
 		r.crashed = k.crashed(ctx, r, reply, err)
 		k.after(ctx, j, i, r, reply, err)
 	})
@@ -402,9 +406,6 @@
 func runResult(ctx context.Context, reply relay.Reply, err error) fleet.Result {
 	switch r := reply.(type) {
 	case relay.NotRun:
-		if r.Full {
-			return fleet.Full
-		}
 		return fleet.Failed
 	case relay.Answer:
 		if err == nil || errors.Is(err, errOldVersion) || errors.Is(err, errMixed) || r.Status != http.StatusOK {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,10 @@
 	// over; an endpoint that crashed is back after some seconds.
 	firstPause = 200 * time.Millisecond
 	maxPause   = 2 * time.Second
+	// changeLimit is for how long an endpoint that changes weights is passed over
+	// without news of it: a load takes 0.9 s on the users' engines, and has run for
+	// some time by the first refusal.
+	changeLimit = 600 * time.Millisecond
 	// paceWeight is the share of a new measurement in the running mean.
 	paceWeight = 0.2
 	// paceLife is how long a measured pace counts: slow spells last some seconds.
@@ -86,8 +90,11 @@
 		Pace time.Duration
 		// Paused endpoints have failed and are passed over for a while.
 		Paused bool
-		// Loading endpoints have refused work because they change weights.
-		Loading bool
+		// Full endpoints have just refused work for want of room.
+		Full bool
+		// Changing is the model whose weights the endpoint changes, as far as its
+		// refusals tell, empty for none. Requests for other models are served.
+		Changing string
 	}
 
 	// Fleet is safe for concurrent use.
@@ -107,9 +114,12 @@
 		failures    int
 		pausedUntil time.Time
 		fullUntil   time.Time
-		pace        time.Duration
-		paceAt      time.Time
-		goneAt      time.Time
+		// changing is the model whose weights it changes until changingUntil at most.
+		changing      string
+		changingUntil time.Time
+		pace          time.Duration
+		paceAt        time.Time
+		goneAt        time.Time
 	}
 )
 
@@ -156,12 +166,20 @@
 		e = &endpoint{mine: mine}
 		f.endpoints[entry.ID] = e
 	}
-	e.entry = entry
+	e.setEntry(entry)
 	e.goneAt = time.Time{}
 	f.announce()
 	return true
 }
 
+// setEntry takes an entry; a changed version ends the change of that model.
+func (e *endpoint) setEntry(entry Entry) {
+	if entry.Versions[e.changing] != e.entry.Versions[e.changing] {
+		e.changing, e.changingUntil = "", time.Time{}
+	}
+	e.entry = entry
+}
+
 // Remove forgets an endpoint after the given grace, 0 for at once.
 func (f *Fleet) Remove(id string, grace time.Duration) {
 	f.mu.Lock()
@@ -243,6 +261,25 @@
 	}
 }
 
+// Refuse notes that an endpoint refused work for a model. One that has room, by
+// the load that it told with the refusal, changes that model's weights.
+func (f *Fleet) Refuse(id, model string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.mine--
+	now := f.now()
+	room := !e.loadAt.IsZero() && now.Sub(e.loadAt) < loadLife && e.load.Running+e.load.Waiting < e.load.Slots
+	if room {
+		e.changing, e.changingUntil = model, now.Add(changeLimit)
+		return
+	}
+	e.fullUntil = now.Add(firstPause)
+}
+
 // Loaded notes what an endpoint said of its load.
 func (f *Fleet) Loaded(id string, load Load) {
 	f.mu.Lock()
@@ -282,7 +319,9 @@
 		versions[m] = v
 	}
 	versions[model] = version
-	e.entry.Versions = versions
+	entry := e.entry
+	entry.Versions = versions
+	e.setEntry(entry)
 	f.announce()
 }
 
@@ -294,7 +333,10 @@
 func (e *endpoint) state(now time.Time) State {
 	s := State{
 		Entry: e.entry, Mine: e.mine,
-		Paused: now.Before(e.pausedUntil), Loading: now.Before(e.fullUntil),
+		Paused: now.Before(e.pausedUntil), Full: now.Before(e.fullUntil),
+	}
+	if now.Before(e.changingUntil) {
+		s.Changing = e.changing
 	}
 	if now.Sub(e.loadAt) < loadLife {
 		s.Others = max(0, e.load.Running+e.load.Waiting-e.mineAtLoad)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -102,3 +102,55 @@
 		t.Errorf("busy %d, want 1: what was said is too old", busy)
 	}
 }
+
+// TestRefuse tells an endpoint that changes weights from a full one, by the load
+// that it tells with its refusal.
+func TestRefuse(t *testing.T) {
+	const refused = "m"
+	cases := []struct {
+		name string
+		load *Load
+		then func(f *Fleet)
+		// after is how long ago the refusal was.
+		after    time.Duration
+		full     bool
+		changing string
+	}{
+		{"it has room", &Load{Running: 1, Slots: 4}, nil, 0, false, refused},
+		{"it has room, some time ago", &Load{Running: 1, Slots: 4}, nil, changeLimit, false, ""},
+		{"it is full", &Load{Running: 3, Waiting: 1, Slots: 4}, nil, 0, true, ""},
+		{"it is full, some time ago", &Load{Running: 3, Waiting: 1, Slots: 4}, nil, firstPause, false, ""},
+		{"it does not tell", nil, nil, 0, true, ""},
+		{"its entry has the new version", &Load{Running: 1, Slots: 4}, func(f *Fleet) {
+			entry := entryOf("a")
+			entry.Versions = map[string]int{refused: 2}
+			f.Put(entry)
+		}, 0, false, ""},
+		{"an answer has the new version", &Load{Running: 1, Slots: 4}, func(f *Fleet) {
+			f.SawVersion("a", refused, 2)
+		}, 0, false, ""},
+		{"another model has a new version", &Load{Running: 1, Slots: 4}, func(f *Fleet) {
+			f.SawVersion("a", "other", 2)
+		}, 0, false, refused},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := &clock{at: time.UnixMilli(1)}
+			f := New(c.now)
+			f.Put(entryOf("a"))
+			f.Begin("a")
+			if tc.load != nil {
+				f.Loaded("a", *tc.load)
+			}
+			f.Refuse("a", refused)
+			if tc.then != nil {
+				tc.then(f)
+			}
+			c.at = c.at.Add(tc.after)
+			s := f.Serving("s")[0]
+			if s.Full != tc.full || s.Changing != tc.changing || s.Mine != 0 {
+				t.Errorf("%+v", s)
+			}
+		})
+	}
+}
--- a/fleet/pick.go
+++ b/fleet/pick.go
@@ -34,7 +34,7 @@
 	if s.Paused {
 		rank[0] = 1
 	}
-	if s.Loading {
+	if s.Full {
 		rank[1] = 1
 	}
 	rank[2] = float64(s.Busy()) / float64(max(1, s.Entry.Slots))
