fix(batch): a keeper that answers is not logged as unreachable

Cause: batch_keeper_unreachable was a warning also when the node had answered that it does not keep the batch, as after its own start; on-call engineers were sent to look at a host that was well. Body reads logged neither.

Ruled out: leaving out the call for batches that have ended; their keeper still serves reads from memory, cheaper than the store.

After: batch_not_kept_there, info. saveShare and chunkShare were one share; textBytes is its one use.

--- a/batch/begun.go
+++ b/batch/begun.go
@@ -26,8 +26,6 @@
 	saveEvents = 20
 	// saveLimit is how long a save may take before the next one is due.
 	saveLimit = time.Second
-	// saveShare is the share of an object that texts take; JSON escapes some bytes.
-	saveShare = 0.6
 )
 
 // saveLoop saves in the store what runs here. Backups at other nodes cover the
@@ -46,7 +44,7 @@
 		again bool
 	}
 	var all []saving
-	most := int(float64(k.parts.ValueBytes) * saveShare)
+	most := k.textBytes()
 	k.mu.Lock()
 	for _, j := range k.jobs {
 		if j.book.Ended() || j.released {
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -102,7 +102,7 @@
 	if err == nil {
 		return name, incarnation
 	}
-	event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", s.ID), zap.String("keeper", name), zap.Error(err))
+	k.peerFailed(s.ID, name, err)
 	return k.parts.Name, k.parts.Incarnation
 }
 
@@ -212,7 +212,7 @@
 		if err == nil {
 			return page, nil
 		}
-		event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", keeper), zap.Error(err))
+		k.peerFailed(id, keeper, err)
 		wait = 0
 	}
 	page, err = k.readStored(ctx, head, after)
@@ -223,6 +223,16 @@
 	return page, err
 }
 
+// peerFailed tells a keeper that did not answer from one that answered that it
+// does not keep the batch: it started again, or leaves.
+func (k *Keeper) peerFailed(id, keeper string, err error) {
+	kind := event.BatchPeerFailed
+	if errors.Is(err, ErrNotKept) {
+		kind = event.BatchNotKept
+	}
+	kind.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", keeper), zap.Error(err))
+}
+
 // ReadHere reads results of a batch that this node keeps, or returns ErrNotKept.
 func (k *Keeper) ReadHere(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
@@ -315,6 +325,7 @@
 		if err == nil || errors.Is(err, ErrUnknown) {
 			return body, err
 		}
+		k.peerFailed(id, keeper, err)
 	}
 	return k.storedBody(ctx, head, item)
 }
@@ -368,7 +379,7 @@
 	if keeper != k.parts.Name {
 		limited, cancelLimited := context.WithTimeout(ctx, peerWait)
 		if err := k.parts.Peers.EndAt(limited, keeper, head); err != nil {
-			event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", id), zap.String("keeper", keeper), zap.Error(err))
+			k.peerFailed(id, keeper, err)
 		}
 		cancelLimited()
 	}
--- a/batch/job.go
+++ b/batch/job.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// chunkShare is the share of an object that the texts of a chunk take; JSON
-	// escapes some bytes.
-	chunkShare = 0.6
+	// textShare is the share of an object that texts may take; JSON escapes some
+	// bytes.
+	textShare = 0.6
 	// dueWait is how long the write loop waits at most before it looks again.
 	dueWait = time.Second
 )
@@ -80,6 +80,9 @@
 	}
 )
 
+// textBytes returns how many bytes of texts one object may hold.
+func (k *Keeper) textBytes() int { return int(float64(k.parts.ValueBytes) * textShare) }
+
 func (k *Keeper) newJob(head Head, s Submission) *job {
 	// What lasts is in the store; the items are all that is needed here.
 	s.Raw = nil
@@ -174,7 +177,7 @@
 	if wait > 0 {
 		return nil, 0, wait, false
 	}
-	most := int(float64(k.parts.ValueBytes) * chunkShare)
+	most := k.textBytes()
 	return j.book.Next(most), j.book.Chunks(), 0, false
 }
 
--- a/batch/rests.go
+++ b/batch/rests.go
@@ -5,9 +5,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/waits"
 )
@@ -173,7 +170,7 @@
 		err := k.parts.Peers.RestsTo(limited, s.name, s.list)
 		cancel()
 		if err != nil {
-			event.BatchPeerFailed.Log(k.parts.Logger, zap.String("batch", s.job.head.ID), zap.String("keeper", s.name), zap.Error(err))
+			k.peerFailed(s.job.head.ID, s.name, err)
 			k.mu.Lock()
 			clear(s.job.sent)
 			k.mu.Unlock()
