--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -116,6 +116,8 @@
 		// Gone reports whether an endpoint's process has ended.
 		Gone  func(ctx context.Context, target fleet.Target) bool
 		Peers Peers
+		// Policy places items.
+		Policy Policy
 		// First reports whether this node has the duties of one node.
 		First func() bool
 		// Keep is for how long results can be read.
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -165,8 +165,9 @@
 	}}, nil, routes.Limits{})
 	k := New(Parts{
 		Name: name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
-		Gone:  func(context.Context, fleet.Target) bool { return true },
-		Peers: member{r, name}, First: func() bool { return true }, Keep: time.Minute, Routes: func() *routes.Table { return table }, Decode: decodeTest,
+		Gone:   func(context.Context, fleet.Target) bool { return true },
+		Policy: Longest{},
+		Peers:  member{r, name}, First: func() bool { return true }, Keep: time.Minute, Routes: func() *routes.Table { return table }, Decode: decodeTest,
 		Scope: tally.NoopScope, Logger: zap.NewNop(),
 	})
 	r.mu.Lock()
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -118,11 +118,16 @@
 // long as the others, engines hardly slow down as they fill, and one engine in
 // five runs several times slower for some seconds.
 func Plan(waiting []Waiting, states []fleet.State, memory Memory, homes Homes) []Placement {
+	return PlanBy(Longest{}, waiting, states, memory, homes)
+}
+
+// PlanBy is Plan by another policy.
+func PlanBy(policy Policy, waiting []Waiting, states []fleet.State, memory Memory, homes Homes) []Placement {
 	seats := seatsOf(states, memory)
 	var placed []Placement
-	for _, i := range orderOf(waiting) {
+	for _, i := range orderBy(policy, waiting) {
 		w := waiting[i]
-		best := choose(w, seats, memory.Capacity, homes[w.Batch+"/"+w.Group])
+		best := chooseBy(policy, w, seats, memory.Capacity, homes[w.Batch+"/"+w.Group])
 		if best < 0 {
 			continue
 		}
@@ -236,7 +241,7 @@
 	for i := range seats {
 		s := &seats[i]
 		crowded := float64(s.state.Busy()) >= fill(w.Events)*float64(s.state.Entry.Slots)
-		if s.free <= 0 || crowded || s.state.Paused || s.state.Full || !fits(w, s.state) {
+		if crowded || !s.open(w) {
 			continue
 		}
 		crowd := 1 + perRunning*float64(s.state.Busy())
--- /dev/null
+++ b/batch/policy_test.go
@@ -0,0 +1,77 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/currantloft/currantloft/fakes/check"
+	"github.com/currantloft/currantloft/fleet"
+)
+
+var allPolicies = []Policy{Longest{}, Arrival{}, LeastBusy{}, Random{}}
+
+// TestPolicies puts a short item that came first and a long one on a fast and a
+// slow endpoint of which the fast one is busier.
+func TestPolicies(t *testing.T) {
+	states := []fleet.State{
+		engineState("fast", 2, 3, 40*time.Millisecond), engineState("slow", 2, 0, 130*time.Millisecond),
+	}
+	waiting := []Waiting{waitingItem(0, "a", 5), waitingItem(1, "b", 90)}
+	for _, tc := range []struct {
+		policy Policy
+		first  int
+		long   string
+	}{
+		{Longest{}, 1, "fast"},
+		{Arrival{}, 0, "fast"},
+		{LeastBusy{}, 1, "slow"},
+	} {
+		t.Run(fmt.Sprintf("%T", tc.policy), func(t *testing.T) {
+			placed := PlanBy(tc.policy, waiting, states, Memory{}, make(Homes))
+			check.Equal(t, "the first", placed[0].Index, tc.first)
+			for _, p := range placed {
+				if p.Index == 1 {
+					check.Equal(t, "the long one", p.Target.ID(), tc.long)
+				}
+			}
+		})
+	}
+}
+
+// TestPoliciesKeepTheLimits holds what no policy may break, on random states.
+func TestPoliciesKeepTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var states []fleet.State
+		for i := range rapid.IntRange(0, 5).Draw(t, "endpoints") {
+			s := engineState(fmt.Sprint("e", i), rapid.IntRange(1, 3).Draw(t, "version"),
+				rapid.IntRange(0, testSlots+1).Draw(t, "busy"), 40*time.Millisecond)
+			s.Paused, s.Full = rapid.Bool().Draw(t, "paused"), rapid.Bool().Draw(t, "full")
+			s.Changing = rapid.SampledFrom([]string{"", testModel, "another"}).Draw(t, "changing")
+			states = append(states, s)
+		}
+		var waiting []Waiting
+		for i := range rapid.IntRange(0, 30).Draw(t, "items") {
+			waiting = append(waiting, waitingItem(i, fmt.Sprint("g", i%4), rapid.IntRange(1, 150).Draw(t, "events")))
+		}
+		for _, policy := range allPolicies {
+			taken, seen := make(map[string]int), make(map[int]bool)
+			for _, p := range PlanBy(policy, waiting, states, Memory{}, make(Homes)) {
+				if seen[p.Index] {
+					t.Fatalf("%T places item %d twice", policy, p.Index)
+				}
+				seen[p.Index] = true
+				taken[p.Target.ID()]++
+			}
+			for _, s := range states {
+				n := taken[s.Entry.ID]
+				open := !s.Paused && !s.Full && s.Changing != testModel && s.Entry.Versions[testModel] >= 2
+				if n > 0 && (!open || n > testSlots-s.Mine) {
+					t.Fatalf("%T places %d items on %+v", policy, n, s)
+				}
+			}
+		}
+	})
+}
--- a/batch/run.go
+++ b/batch/run.go
@@ -110,7 +110,7 @@
 	k.move(now)
 	for service, list := range waiting {
 		states := k.parts.Fleet.Serving(service)
-		for _, p := range Plan(list, states, k.memory(service), k.homes) {
+		for _, p := range PlanBy(k.parts.Policy, list, states, k.memory(service), k.homes) {
 			k.begin(places[p.Index].job, places[p.Index].item, p.Target)
 			left--
 		}
@@ -160,6 +160,10 @@
 		return
 	}
 	k.movedAt = now
+	if _, ok := k.parts.Policy.(Longest); !ok {
+		// What it is compared with leaves items where they are.
+		return
+	}
 	running := make(map[string][]Running)
 	var places []place
 	for _, j := range k.jobs {
--- a/cmds/edge.go
+++ b/cmds/edge.go
@@ -18,10 +18,17 @@
 		Usage: "run one node on the prepared platform until SIGTERM, then stop gracefully",
 		Flags: append(hostFlags(), &cli.IntFlag{
 			Name: "admin-port", Usage: "`PORT` of metrics, status and dump, 0 for none",
+		}, &cli.StringFlag{
+			Name: "policy", Value: edge.UsualPolicy,
+			Usage: "`POLICY` of items and versions, to compare: " + edge.PolicyNames(),
 		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
+			policy, err := edge.PolicyOf(c.String("policy"))
+			if err != nil {
+				return usageError("policy: %w", err)
+			}
 			return onHost(c, platform.RoleCallers, func(settings *setup.Host, logger *zap.Logger) error {
-				e := edge.New(settings, c.Int("admin-port"), logger)
+				e := edge.New(settings, edge.Options{AdminPort: c.Int("admin-port"), Policy: policy}, logger)
 				go followSettings(ctx, c.String("settings"), platform.RoleCallers, logger, e.Reload)
 				return e.Run(ctx)
 			})
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	e, err := edge.New(settings, logger)
+//	e, err := edge.New(settings, options, logger)
 //	err = e.Run(ctx) // until ctx ends, then a graceful shutdown
 package edge
 
@@ -91,11 +91,11 @@
 )
 
 // New puts a node together; nothing listens yet.
-func New(settings *setup.Host, adminPort int, logger *zap.Logger) *Edge {
+func New(settings *setup.Host, options Options, logger *zap.Logger) *Edge {
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory())))
 	e := &Edge{
-		logger: logger, adminPort: adminPort, meter: meter.New(), pool: peers.NewPool(),
+		logger: logger, adminPort: options.AdminPort, meter: meter.New(), pool: peers.NewPool(),
 		fleet: fleet.New(time.Now),
 	}
 	e.settings.Store(settings)
@@ -118,11 +118,11 @@
 	e.keeper = batch.New(batch.Parts{
 		Name: self.Name, Incarnation: self.Incarnation, Store: e.store, ValueBytes: settings.StoreValueBytes(),
 		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Gone: e.suspects.gone, Peers: e.others, First: e.first,
-		Keep: settings.Keep(), Routes: e.table.Load,
+		Policy: options.Policy.items, Keep: settings.Keep(), Routes: e.table.Load,
 		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.giver = orders.New(orders.Parts{
-		Name: self.Name, Store: e.store, Fleet: e.fleet,
+		Name: self.Name, Store: e.store, Fleet: e.fleet, Policy: options.Policy.versions,
 		Lease:  orders.NewLease(e.store, self.Name, self.Incarnation, settings.Lease(), settings.Thaw(), waits.Boottime),
 		Orders: e.sender, Routes: e.table.Load, First: e.first,
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -41,6 +41,8 @@
 		Fleet  *fleet.Fleet
 		Lease  *Lease
 		Orders Endpoints
+		// Policy says which endpoints load a version when.
+		Policy Policy
 		// Routes returns the configuration in force, nil before the first one.
 		Routes func() *routes.Table
 		// First reports whether this node is the one to give orders.
@@ -178,7 +180,7 @@
 		for _, model := range service.Models {
 			wants = append(wants, Want{Model: model, Version: max(firstVersion, g.named[model]), Weight: g.parts.Demand(model)})
 		}
-		for _, load := range Plan(g.parts.Fleet.Serving(service.Name), wants, g.loading) {
+		for _, load := range PlanBy(g.parts.Policy, g.parts.Fleet.Serving(service.Name), wants, g.loading) {
 			if now.After(g.again[load.State.Entry.ID]) {
 				loads = append(loads, load)
 			}
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -53,11 +53,16 @@
 // Load pattern: each trainer names a version every few seconds and asks for the
 // next step at once, which the version before may still serve.
 func Plan(states []fleet.State, wants []Want, loading Progress) []Load {
-	most := AtOnce(len(states)) - len(loading)
+	return PlanBy(Halves{}, states, wants, loading)
+}
+
+// PlanBy is Plan by another policy.
+func PlanBy(policy Policy, states []fleet.State, wants []Want, loading Progress) []Load {
+	most := atOnce(policy, len(states)) - len(loading)
 	homes := homesOf(states, wants)
 	var due []Load
 	for _, want := range wants {
-		due = append(due, dueOf(states, homes[want.Model], want, loading)...)
+		due = append(due, dueOf(policy, states, homes[want.Model], want, loading)...)
 	}
 	sort.SliceStable(due, func(i, j int) bool { return due[i].before(due[j]) })
 	return due[:max(0, min(most, len(due)))]
@@ -67,7 +72,7 @@
 func AtOnce(endpoints int) int { return max(1, int(math.Round(loadShare*float64(endpoints)))) }
 
 // dueOf returns a model's endpoints that are to load.
-func dueOf(states []fleet.State, home map[string]bool, want Want, loading Progress) []Load {
+func dueOf(policy Policy, states []fleet.State, home map[string]bool, want Want, loading Progress) []Load {
 	var due []Load
 	newest, size := 0, 0
 	for _, s := range states {
@@ -85,7 +90,7 @@
 	sort.SliceStable(due, func(i, j int) bool { return due[i].before(due[j]) })
 	kept := due[:0]
 	for _, load := range due {
-		if load.Behind >= tooOld || newest < (size+1)/2 {
+		if load.Behind >= tooOld || !keepsBehind(policy, newest, size) {
 			kept = append(kept, load)
 			newest++
 		}
--- a/orders/plan_test.go
+++ b/orders/plan_test.go
@@ -119,3 +119,30 @@
 	}
 	return false
 }
+
+// TestPolicies names a version while four endpoints have the one before and one
+// has an older one, which can't serve the step.
+func TestPolicies(t *testing.T) {
+	var states []fleet.State
+	for i, version := range []int{8, 8, 8, 8, 7} {
+		states = append(states, fleet.State{Entry: fleet.Entry{
+			ID: string(rune('a' + i)), Slots: 4, Versions: map[string]int{"m": version},
+		}})
+	}
+	for _, tc := range []struct {
+		policy Policy
+		want   int
+	}{
+		{Halves{}, 1}, // one of five may load at once
+		{Needed{}, 1},
+		{Eager{}, 5},
+	} {
+		loads := PlanBy(tc.policy, states, []Want{{Model: "m", Version: 9}}, Progress{})
+		if len(loads) != tc.want || loads[0].State.Entry.ID != "e" {
+			t.Errorf("%T loads %d first of all %v, want %d", tc.policy, len(loads), loads[0].State.Entry.ID, tc.want)
+		}
+	}
+	if loads := PlanBy(Needed{}, states[:4], []Want{{Model: "m", Version: 9}}, Progress{}); len(loads) != 0 {
+		t.Errorf("%d loads that are not needed", len(loads))
+	}
+}
