--- a/edge/edge.go
+++ b/edge/edge.go
@@ -99,6 +99,7 @@
 		fleet: fleet.New(time.Now),
 	}
 	e.settings.Store(settings)
+	e.pool.Observe(counting(e.meter.Scope()))
 	e.store = platform.NewStore(settings.Store(), e.meter.Scope(), logger)
 	e.sender = platform.NewSender(e.fleet)
 	self := roster.Host{
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"math/rand/v2"
+	"reflect"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/currantloft/currantloft/batch"
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/mirror"
-	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/roster"
@@ -38,6 +41,24 @@
 
 var _ batch.Peers = (*others)(nil)
 
+// counting returns what counts calls of other nodes and their bytes, both ways, by
+// kind of call.
+func counting(scope tally.Scope) func(call, reply *wirepb.Frame) {
+	type counters struct{ calls, bytes tally.Counter }
+	var kinds sync.Map
+	return func(call, reply *wirepb.Frame) {
+		kind := reflect.TypeOf(call.GetBody())
+		found, ok := kinds.Load(kind)
+		if !ok {
+			tagged := scope.Tagged(map[string]string{"kind": strings.TrimPrefix(kind.Elem().Name(), "Frame_")})
+			found, _ = kinds.LoadOrStore(kind, counters{tagged.Counter("peer_calls"), tagged.Counter("peer_bytes")})
+		}
+		c, _ := found.(counters)
+		c.calls.Inc(1)
+		c.bytes.Inc(int64(proto.Size(call) + proto.Size(reply)))
+	}
+}
+
 // Tell sends a notice to all other nodes.
 func (o *others) Tell(notice batch.Notice) {
 	o.toAll(&wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotice(notice)}})
@@ -99,15 +120,7 @@
 	if !reply.GetKept() {
 		return batch.Page{}, batch.ErrNotKept
 	}
-	page := batch.Page{Total: int(reply.GetTotal()), Next: int(reply.GetNext())}
-	for _, r := range reply.GetResults() {
-		result := batch.Result{Item: r.GetItem(), Failed: r.GetFailed(), Text: string(r.GetText())}
-		for _, v := range r.GetVersions() {
-			result.Versions = append(result.Versions, int(v))
-		}
-		page.Results = append(page.Results, result)
-	}
-	return page, nil
+	return decodePage(reply), nil
 }
 
 // BodyAt reads an item's body at another node.
@@ -140,18 +153,7 @@
 
 // RestsTo sends what was generated to the node that would take over.
 func (o *others) RestsTo(ctx context.Context, name string, rests []batch.Rest) error {
-	call := &wirepb.BatchRests{}
-	for _, r := range rests {
-		rest := &wirepb.BatchRest{Item: r.Item, From: int64(r.From), Last: int64(r.Last), Whole: r.Whole}
-		for _, text := range r.Texts {
-			rest.Texts = append(rest.Texts, []byte(text))
-		}
-		for _, v := range r.Versions {
-			rest.Versions = append(rest.Versions, int64(v))
-		}
-		call.Rests = append(call.Rests, rest)
-	}
-	frame, err := o.do(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchRests{BatchRests: call}})
+	frame, err := o.do(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchRests{BatchRests: encodeRests(rests)}})
 	if err == nil && !frame.GetBatchPage().GetKept() {
 		return batch.ErrNotKept
 	}
@@ -241,15 +243,7 @@
 	if err != nil {
 		return &wirepb.BatchPage{}
 	}
-	reply := &wirepb.BatchPage{Kept: true, Total: int64(page.Total), Next: int64(page.Next)}
-	for _, r := range page.Results {
-		result := &wirepb.BatchResult{Item: r.Item, Failed: r.Failed, Text: []byte(r.Text)}
-		for _, v := range r.Versions {
-			result.Versions = append(result.Versions, int64(v))
-		}
-		reply.Results = append(reply.Results, result)
-	}
-	return reply
+	return encodePage(page)
 }
 
 func (e *Edge) serveBody(call *wirepb.BatchBody) *wirepb.BatchBodyReply {
@@ -277,66 +271,3 @@
 	}
 	return &wirepb.StoreReply{Status: uint32(status), Body: reply}
 }
-
-func encodeNews(news []mirror.News) *wirepb.StoreNews {
-	out := &wirepb.StoreNews{}
-	for _, n := range news {
-		kind := &wirepb.KindNews{Kind: n.Kind, At: n.At, Away: n.Away}
-		for _, c := range n.Changes {
-			kind.Changes = append(kind.Changes, &wirepb.StoreChange{
-				Name: c.Entry.Name, Revision: c.Entry.Revision, Spec: c.Entry.Spec, Removed: c.Removed,
-			})
-		}
-		out.Kinds = append(out.Kinds, kind)
-	}
-	return out
-}
-
-func decodeNews(in *wirepb.StoreNews) []mirror.News {
-	var news []mirror.News
-	for _, kind := range in.GetKinds() {
-		n := mirror.News{Kind: kind.GetKind(), At: kind.GetAt(), Away: kind.GetAway()}
-		for _, c := range kind.GetChanges() {
-			n.Changes = append(n.Changes, object.Change{
-				Entry:   object.Entry{Name: c.GetName(), Revision: c.GetRevision(), Spec: c.GetSpec()},
-				Removed: c.GetRemoved(),
-			})
-		}
-		news = append(news, n)
-	}
-	return news
-}
-
-func decodeRests(in *wirepb.BatchRests) []batch.Rest {
-	var rests []batch.Rest
-	for _, r := range in.GetRests() {
-		rest := batch.Rest{Item: r.GetItem(), From: int(r.GetFrom()), Last: int(r.GetLast()), Whole: r.GetWhole()}
-		for _, text := range r.GetTexts() {
-			rest.Texts = append(rest.Texts, string(text))
-		}
-		for _, v := range r.GetVersions() {
-			rest.Versions = append(rest.Versions, int(v))
-		}
-		rests = append(rests, rest)
-	}
-	return rests
-}
-
-func encodeNotice(n batch.Notice) *wirepb.BatchNotice {
-	return &wirepb.BatchNotice{
-		Id: n.Head.ID, Host: n.Head.Host, Path: n.Head.Path, Model: n.Head.Model, Step: int64(n.Head.Step),
-		Items: int64(n.Head.Items), Keeper: n.Head.Keeper, Incarnation: n.Head.Incarnation,
-		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.Parts), Tokens: int64(n.Head.Tokens), Ended: n.Ended, Handed: n.Handed, Taken: n.Taken,
-	}
-}
-
-func decodeNotice(n *wirepb.BatchNotice) batch.Notice {
-	return batch.Notice{
-		Head: batch.Head{
-			ID: n.GetId(), Host: n.GetHost(), Path: n.GetPath(), Model: n.GetModel(), Step: int(n.GetStep()),
-			Items: int(n.GetItems()), Keeper: n.GetKeeper(), Incarnation: n.GetIncarnation(),
-			AcceptedMs: n.GetAcceptedMs(), Parts: int(n.GetParts()), Tokens: int(n.GetTokens()),
-		},
-		Ended: n.GetEnded(), Handed: n.GetHanded(), Taken: n.GetTaken(),
-	}
-}
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -104,11 +104,7 @@
 
 // Learn takes what another node says.
 func (s *suspects) Learn(list []*wirepb.Suspect) {
-	for _, w := range list {
-		news := poison.Suspicion{
-			Fingerprint: w.GetFingerprint(), Crashes: int(w.GetCrashes()),
-			Left: time.Duration(w.GetRemainingMs()) * time.Millisecond,
-		}
+	for _, news := range decodeSuspects(list) {
 		if s.ledger.Learn(news) {
 			event.SuspectLearned.Log(s.logger, zap.Uint64("fingerprint", news.Fingerprint),
 				zap.Int("crashes", news.Crashes), zap.Duration("left", news.Left))
@@ -145,13 +141,3 @@
 	caller := strconv.FormatUint(request.Caller, 16)
 	return poison.Fingerprint(caller+" "+request.Host+" "+request.Method+" "+request.Target, request.Body)
 }
-
-func encodeSuspects(list []poison.Suspicion) []*wirepb.Suspect {
-	var out []*wirepb.Suspect
-	for _, s := range list {
-		out = append(out, &wirepb.Suspect{
-			Fingerprint: s.Fingerprint, Crashes: uint32(s.Crashes), RemainingMs: s.Left.Milliseconds(),
-		})
-	}
-	return out
-}
--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,6 +40,7 @@
 		callers  string
 		ready    string
 		resolver string
+		admin    string
 
 		mu   sync.Mutex
 		cmd  *exec.Cmd
@@ -164,6 +166,7 @@
 	readyPort    = 8162
 	resolverPort = 8163
 	peersPort    = 8164
+	adminPort    = 8165
 )
 
 // newSubnet returns the first three numbers of loopback addresses that no other
@@ -181,6 +184,7 @@
 		callers:  fmt.Sprintf("%s:%d", ip, callersPort),
 		ready:    fmt.Sprintf("%s:%d", ip, readyPort),
 		resolver: fmt.Sprintf("%s:%d", ip, resolverPort),
+		admin:    fmt.Sprintf("%s:%d", ip, adminPort),
 	}
 	text := fmt.Sprintf(`node_name=%s
 ip=%s
@@ -211,7 +215,7 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	cmd, done := exec.Command(binary, "edge"), make(chan struct{})
+	cmd, done := exec.Command(binary, "edge", "--admin-port", strconv.Itoa(adminPort)), make(chan struct{})
 	cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
--- a/peers/pool.go
+++ b/peers/pool.go
@@ -23,6 +23,8 @@
 type (
 	// Pool calls other nodes. It is safe for concurrent use.
 	Pool struct {
+		observe func(call, reply *wirepb.Frame)
+
 		mu       sync.Mutex
 		sessions map[string]*slot
 		closed   bool
@@ -42,6 +44,10 @@
 	return &Pool{sessions: make(map[string]*slot), done: make(chan struct{})}
 }
 
+// Observe sets what is told of each call of Do that was answered. It must be set
+// before the first call.
+func (p *Pool) Observe(observe func(call, reply *wirepb.Frame)) { p.observe = observe }
+
 // Close ends all sessions.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -106,6 +112,9 @@
 		}
 		return nil, fmt.Errorf("calling %s: %w", address, err)
 	}
+	if p.observe != nil {
+		p.observe(call, reply)
+	}
 	return reply, nil
 }
 
