--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -28,9 +28,11 @@
 	// notice was lost, in a small fleet; listPerNode stretches it in a large one.
 	listInterval = 5 * time.Second
 	listPerNode  = 400 * time.Millisecond
-	// settleTime is how long after its start a node waits to learn of others
-	// before it takes over batches.
+	// settleTime is how long after its start a node that can't register waits to
+	// learn of others before it takes over batches.
 	settleTime = 1200 * time.Millisecond
+	// settlePause is how often a node that starts looks whether it knows them.
+	settlePause = 50 * time.Millisecond
 	// doubtLife is for how long a batch that another node may have kept too is
 	// read with care.
 	doubtLife = 15 * time.Second
@@ -86,6 +88,8 @@
 		Staying() []string
 		// Keepers returns those of them that may keep batches.
 		Keepers() []string
+		// Settled reports whether the node has had time to learn of the others.
+		Settled() bool
 		// LastLost returns when a node was last found dead or alive again.
 		LastLost() time.Time
 		// Incarnation returns the start of a node.
@@ -268,9 +272,9 @@
 // sweepLoop takes over batches that fall to this node and gives up those that
 // have gone back to their keeper.
 func (k *Keeper) sweepLoop() {
-	started := time.Now()
+	started, settled := time.Now(), false
 	listed, seen := time.Time{}, waits.Boottime()
-	ticker := time.NewTicker(sweepInterval)
+	ticker := time.NewTicker(settlePause)
 	defer ticker.Stop()
 	for {
 		select {
@@ -285,8 +289,12 @@
 			k.doubtAll()
 		}
 		seen = awake
-		if now.Sub(started) < settleTime {
-			continue
+		if !settled {
+			if !k.parts.Peers.Settled() && now.Sub(started) < settleTime {
+				continue
+			}
+			settled = true
+			ticker.Reset(sweepInterval)
 		}
 		interval := max(listInterval, time.Duration(len(k.parts.Peers.Staying()))*listPerNode)
 		if now.Sub(listed) > interval && slices.Contains(k.parts.Peers.Keepers(), k.parts.Name) {
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -30,6 +30,8 @@
 		keepers map[string]*Keeper
 		dead    map[string]bool
 		lostAt  time.Time
+		// unsettled nodes don't know all others yet; set before the first keeper.
+		unsettled bool
 	}
 
 	// member is one keeper's view of the ring.
@@ -81,6 +83,7 @@
 
 func (m member) Keepers() []string         { return m.Staying() }
 func (m member) Incarnation(string) uint64 { return 1 }
+func (m member) Settled() bool             { return !m.ring.unsettled }
 func (m member) LastLost() time.Time       { return time.Time{} }
 
 func (m member) Tell(notice Notice) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,8 +51,9 @@
 	// told of, in a small fleet; listPerNode stretches it in a large one.
 	listInterval = 6 * time.Second
 	listPerNode  = 300 * time.Millisecond
-	// settleTime is how long after its registration a node may still lack others.
-	settleTime = 700 * time.Millisecond
+	// settleTime is how long after its registration a node may still lack others:
+	// a hello takes some milliseconds, and a lost packet is sent again after 200.
+	settleTime = 300 * time.Millisecond
 	// registerPause is the pause between two tries to register.
 	registerPause = 300 * time.Millisecond
 	// forgetAfter is how long a dead node is kept in mind.
