--- a/batch/job.go
+++ b/batch/job.go
@@ -40,6 +40,8 @@
 		// node did not see it.
 		asked    time.Time
 		released bool
+		// last is the item that ended last.
+		last lastItem
 		// backup is the node that has what was generated, sent how much of it.
 		backup string
 		sent   map[string]int
@@ -54,6 +56,13 @@
 		confirmed  time.Time
 	}
 
+	// lastItem tells why a batch took as long as it did: its longest items decide.
+	lastItem struct {
+		id, endpoint string
+		events       int
+		ran          time.Duration
+	}
+
 	// itemRun is one run of an item.
 	itemRun struct {
 		cancel context.CancelFunc
@@ -122,8 +131,18 @@
 	}
 }
 
+// state returns what a log line says of a batch's work. The caller holds the lock.
+func (j *job) state() []zap.Field {
+	return []zap.Field{
+		zap.String("batch", j.head.ID), zap.Int("results", j.book.Listed()), zap.Int("total", j.book.Total()),
+		zap.Int("running", len(j.running)), zap.String("last_item", j.last.id), zap.String("endpoint", j.last.endpoint),
+		zap.Int("events", j.last.events), zap.Duration("ran", j.last.ran),
+	}
+}
+
 // endJob ends a batch's work. The caller holds the lock.
 func (k *Keeper) endJob(j *job) {
+	event.BatchLeft.Log(k.parts.Logger, append(j.state(), zap.Duration("age", j.head.Age(time.Now())))...)
 	k.keepRests(j)
 	for group := range j.book.groups {
 		delete(k.homes, j.head.ID+"/"+group)
@@ -212,8 +231,7 @@
 		k.commit(j, results)
 	}
 	if j.book.Listed() == j.book.Total() {
-		event.BatchWhole.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.Int("results", j.book.Listed()),
-			zap.Duration("age", j.head.Age(time.Now())))
+		event.BatchWhole.Log(k.parts.Logger, append(j.state(), zap.Duration("age", j.head.Age(time.Now())))...)
 	}
 }
 
--- a/batch/run.go
+++ b/batch/run.go
@@ -357,6 +357,7 @@
 		event.ItemDone.Log(k.parts.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
 			zap.String("endpoint", target.ID()), zap.Int("events", len(state.texts)), zap.Int("length", it.Length),
 			zap.Ints("versions", state.versions), zap.Duration("age", j.head.Age(time.Now())))
+		j.last = lastItem{id: it.ID, endpoint: target.ID(), events: len(state.texts), ran: time.Since(r.since)}
 		k.finish(j, Result{Item: it.ID, Text: strings.Join(state.texts, "\n"), Versions: state.versions})
 		state.texts = nil
 		return
--- a/event/event.go
+++ b/event/event.go
@@ -111,6 +111,7 @@
 	BatchChunkRetried   = define(872, "batch_chunk_retried", zapcore.WarnLevel)
 	BatchPeerFailed     = define(873, "batch_keeper_unreachable", zapcore.WarnLevel)
 	BatchNotKept        = define(893, "batch_not_kept_there", zapcore.InfoLevel)
+	BatchLeft           = define(894, "batch_work_over", zapcore.InfoLevel)
 	ItemRunFailed       = define(874, "item_run_failed", zapcore.InfoLevel)
 	ItemGivenUp         = define(875, "item_given_up", zapcore.WarnLevel)
 	BatchRests          = define(878, "batch_goes_on_from_before", zapcore.InfoLevel)
