fix(batch): a slow list of batches is no pause and holds up no takeover

Cause: the loop that looks for batches that fell to a node and for pauses of its process also listed batches, up to four seconds while the store was away.

Ruled out: not counting the time of a list; a real pause in it would go unseen, and takeovers would still wait.

Change: lists run beside the loop. TestASlowListIsNoPause fails before (in doubt for 15 s).

--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -68,6 +68,12 @@
 func TestItemsThatCrashEndpoints(t *testing.T) {
 	engine := &fragile{poison: "poison", unlucky: "unlucky", runs: make(map[string]int)}
 	k := newKeeper(t, newRing(), shelf.New(), engine, "a")
+	// An endpoint that fails again and again is passed over for seconds.
+	for i := range 12 {
+		k.parts.Fleet.Put(fleet.Entry{
+			ID: fmt.Sprint("e", i), Service: "pool", Address: "x:1", Slots: 16, Versions: map[string]int{testModel: 1},
+		})
+	}
 	if _, ok := k.Accept(t.Context(), submissionOf(t, "s", "calm", "poison", "unlucky")).(Kept); !ok {
 		t.Fatal("not kept")
 	}
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -276,12 +276,18 @@
 	listed, seen := time.Time{}, waits.Boottime()
 	ticker := time.NewTicker(settlePause)
 	defer ticker.Stop()
+	// Lists take seconds while the store is away; batches that fall here and pauses
+	// of the process must not wait for them.
+	listing, lists := false, make(chan error, 1)
 	for {
+		var listErr error
 		select {
 		case <-k.ctx.Done():
 			return
 		case <-ticker.C:
 		case <-k.fell:
+		case listErr = <-lists:
+			listing = false
 		}
 		now, awake := time.Now(), waits.Boottime()
 		if awake-seen > pauseLimit {
@@ -297,17 +303,17 @@
 			ticker.Reset(sweepInterval)
 		}
 		interval := max(listInterval, time.Duration(len(k.parts.Peers.Staying()))*listPerNode)
-		if now.Sub(listed) > interval && slices.Contains(k.parts.Peers.Keepers(), k.parts.Name) {
-			fresh := object.Stale
+		if listErr != nil {
+			event.BatchListFailed.Log(k.parts.Logger, zap.Error(listErr))
+			listed = now.Add(time.Second - interval)
+		}
+		if !listing && now.Sub(listed) > interval && slices.Contains(k.parts.Peers.Keepers(), k.parts.Name) {
+			read := object.Stale
 			if listed.IsZero() {
-				fresh = object.Fresh
-			}
-			if err := k.list(k.ctx, fresh); err != nil {
-				event.BatchListFailed.Log(k.parts.Logger, zap.Error(err))
-				listed = now.Add(time.Second - interval)
-			} else {
-				listed = now
+				read = object.Fresh
 			}
+			listing, listed = true, now
+			k.tasks.Go(func() { lists <- k.list(k.ctx, read) })
 		}
 		k.sweep(now)
 	}
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -17,6 +17,7 @@
 	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fakes/shelf"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/relay"
 	"github.com/currantloft/currantloft/routes"
 )
@@ -158,7 +159,7 @@
 }
 
 // newKeeper adds a keeper to the ring.
-func newKeeper(t *testing.T, r *ring, store *shelf.Shelf, engine Engine, name string) *Keeper {
+func newKeeper(t *testing.T, r *ring, store object.Store, engine Engine, name string) *Keeper {
 	t.Helper()
 	f := fleet.New(time.Now)
 	f.Put(fleet.Entry{ID: "e", Service: "pool", Address: "x:1", Slots: 16, Versions: map[string]int{testModel: 1}})
--- a/batch/settle_test.go
+++ b/batch/settle_test.go
@@ -1,10 +1,13 @@
 package batch
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/currantloft/currantloft/fakes/shelf"
+	"github.com/currantloft/currantloft/object"
+	"github.com/currantloft/currantloft/waits"
 )
 
 // TestTakesOverOnceSettled replays the end of all nodes: what the node before
@@ -39,3 +42,30 @@
 		})
 	}
 }
+
+// slowLists is a store whose lists take longer than a pause of the process that
+// others would notice.
+type slowLists struct{ object.Store }
+
+func (s slowLists) List(ctx context.Context, kind string, read object.Read) ([]object.Entry, uint64, error) {
+	if err := waits.For(ctx, pauseLimit+sweepInterval); err != nil {
+		return nil, 0, err
+	}
+	return s.Store.List(ctx, kind, read)
+}
+
+// TestASlowListIsNoPause keeps reads of a batch cheap while the store is slow.
+func TestASlowListIsNoPause(t *testing.T) {
+	engine := &instant{held: make(map[string]chan struct{})}
+	engine.hold("i0")
+	k := newKeeper(t, newRing(), slowLists{shelf.New()}, engine, "a")
+	if _, ok := k.Accept(t.Context(), submissionOf(t, "s", "i0")).(Kept); !ok {
+		t.Fatal("not kept")
+	}
+	time.Sleep(2*pauseLimit + 3*sweepInterval)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if doubt := k.jobs["s"].doubtUntil; !doubt.IsZero() {
+		t.Errorf("in doubt until %v although the process never stood still", doubt)
+	}
+}
