--- a/batch/begun.go
+++ b/batch/begun.go
@@ -13,7 +13,6 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/object"
-	"github.com/currantloft/currantloft/waits"
 )
 
 const (
@@ -28,15 +27,8 @@
 	saveLimit = time.Second
 )
 
-// saveLoop saves in the store what runs here. Backups at other nodes cover the
-// loss of some; this covers the loss of all.
-func (k *Keeper) saveLoop() {
-	for waits.For(k.ctx, saveInterval) == nil {
-		k.save(k.ctx)
-	}
-}
-
-// save writes the progress of each batch that has gone on by enough.
+// save writes the progress of each batch that has gone on by enough. Backups at
+// other nodes cover the loss of some; this covers the loss of all.
 func (k *Keeper) save(ctx context.Context) {
 	type saving struct {
 		job   *job
--- a/batch/clean.go
+++ b/batch/clean.go
@@ -10,7 +10,6 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/object"
-	"github.com/currantloft/currantloft/waits"
 )
 
 const (
@@ -24,15 +23,13 @@
 	mostCleaned = 20
 )
 
-// cleanLoop removes batches that nobody may read any more. Only the first node
-// removes them from the store, the others forget them.
-func (k *Keeper) cleanLoop() {
-	for waits.For(k.ctx, cleanInterval) == nil {
-		if k.parts.First() {
-			k.clean(k.ctx, time.Now())
-		} else {
-			k.forget(k.old(time.Now().Add(-cleanMargin)))
-		}
+// tidy removes batches that nobody may read any more. Only the first node removes
+// them from the store, the others forget them.
+func (k *Keeper) tidy(ctx context.Context) {
+	if k.parts.First() {
+		k.clean(ctx, time.Now())
+	} else {
+		k.forget(k.old(time.Now().Add(-cleanMargin)))
 	}
 }
 
--- a/batch/rests.go
+++ b/batch/rests.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/currantloft/currantloft/rendez"
-	"github.com/currantloft/currantloft/waits"
 )
 
 const (
@@ -132,14 +131,8 @@
 	return whole
 }
 
-// backupLoop sends what runs here to the nodes that would take over.
-func (k *Keeper) backupLoop() {
-	for waits.For(k.ctx, backupInterval) == nil {
-		k.backup(k.ctx)
-	}
-}
-
-// backup sends what each batch's items have generated since the last time.
+// backup sends what each batch's items have generated since the last time to the
+// node that would take over.
 func (k *Keeper) backup(ctx context.Context) {
 	type sending struct {
 		job  *job
--- a/entry/step.go
+++ b/entry/step.go
@@ -185,14 +185,7 @@
 
 // watchKeeper gives a call up once its keeper is no longer held alive.
 func (s *Server) watchKeeper(ctx context.Context, cancel context.CancelFunc, keeper member.Node) {
-	ticker := time.NewTicker(keeperPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for waits.For(ctx, keeperPause) == nil {
 		now, ok := s.parts.Members.View().Node(keeper.Name())
 		if !ok || !now.Running() || now.Incarnation() != keeper.Incarnation() {
 			cancel()
--- a/steps/gather.go
+++ b/steps/gather.go
@@ -85,14 +85,7 @@
 
 // watchStragglers closes the channel once the samples that are left are late.
 func (g *gathering) watchStragglers(ctx context.Context, hedge chan<- struct{}) {
-	ticker := time.NewTicker(hedgeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for waits.For(ctx, hedgeInterval) == nil {
 		if g.late() {
 			close(hedge)
 			return
