feat(relay): streams that may be resumed go on at another endpoint

Cause: a stream of a plain route that broke off was broken off for the caller too, also where the route lets it be resumed and other endpoints have room.

Change: whole events are passed on; after a break the next attempt asks for what follows the last one, within the route's attempts, in the same answer. Attempts get their own copy of the request; ends of attempts from before are dropped.

Ruled out: passing half events on; resuming with other weights, since the answer's head names the first.

--- a/integ/batch_test.go
+++ b/integ/batch_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/currantloft/currantloft/fakes/shelf"
+	"github.com/currantloft/currantloft/platform/stand"
 )
 
 // siteLimit is how long a test with edge processes may take.
@@ -208,6 +209,27 @@
 	}
 }
 
+// TestEdgeStreamGoesOn breaks a caller's stream after each event; it goes on at
+// another endpoint within the one answer.
+func TestEdgeStreamGoesOn(t *testing.T) {
+	s := newSite(t, 2, siteLimit)
+	for _, e := range s.engines {
+		e.BreakAfter(1)
+	}
+	for i := range 6 {
+		id := fmt.Sprint("talk-", i)
+		status, body := s.send(http.MethodPost, s.hosts[i%2].callers, talkPath+"x", id, []byte("x"))
+		checkStatus(t, "a stream", status, http.StatusOK)
+		var want strings.Builder
+		for n := range stand.Events(id) {
+			fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", n, stand.Event(id, n))
+		}
+		if string(body) != want.String() {
+			t.Errorf("got %q, want %q", body, want.String())
+		}
+	}
+}
+
 // TestEdgeFailingItems gives items up after as many failures as the route allows.
 func TestEdgeFailingItems(t *testing.T) {
 	for status, most := range map[int]int{http.StatusInternalServerError: 3, http.StatusUnprocessableEntity: 1} {
--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -26,6 +26,7 @@
 	hostName   = "portal.example"
 	plainPath  = "/lookup/"
 	batchPath  = "/rollout/"
+	talkPath   = "/talk/"
 	enginePool = "lm-pool"
 	plainPool  = "portal"
 	testModel  = "tickets"
@@ -131,6 +132,10 @@
 				"name": "once", "hostname": hostName, "path_prefix": "/once/", "route_type": "non_idempotent",
 				"timeout_ms": 2000, "target_latency_ms": 150, "max_attempts": 2, "service": plainPool,
 			},
+			{
+				"name": "talk", "hostname": hostName, "path_prefix": talkPath, "route_type": "streaming", "resumable": true,
+				"timeout_ms": 5000, "target_latency_ms": 400, "max_attempts": 10, "service": enginePool,
+			},
 			{
 				"name": "rollout", "hostname": hostName, "path_prefix": batchPath, "route_type": "rollout",
 				"timeout_ms": 10000, "target_latency_ms": 400, "result_deadline_ms": 7500, "max_queue_s": 40,
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -83,6 +83,8 @@
 
 	// attemptEnd is the end of one attempt.
 	attemptEnd struct {
+		// n counts the request's attempts from 1 on.
+		n      int
 		target fleet.Target
 		reply  Reply
 		body   []byte
@@ -136,7 +138,7 @@
 		Relay: r, request: request, route: route, service: route.Service(request.ID),
 		results: make(chan attemptEnd, route.Attempts()+maxRefusals+1),
 		state: Attempts{
-			Repeatable: route.Kind == routes.Idempotent, Most: route.Attempts(), Limit: limit,
+			Repeatable: route.Repeatable(), Most: route.Attempts(), Limit: limit,
 		},
 	}
 	end := x.run(ctx)
@@ -193,6 +195,9 @@
 			}
 		}
 		if done.body == nil && reply.Body != nil {
+			if x.route.Resumable && reply.Streamed {
+				reply.Body = newResuming(ctx, x, reply)
+			}
 			return Whole{Status: reply.Status, Header: reply.Header, Stream: reply.Body}
 		}
 		return Whole{Status: reply.Status, Header: reply.Header, Body: done.body}
@@ -236,14 +241,14 @@
 	target := chosen.Target()
 	x.sentTo = append(x.sentTo, target.ID())
 	x.fleet.Begin(target.ID())
-	go x.attempt(ctx, target)
+	go x.attempt(ctx, target, x.request, x.state.Sent)
 	return nil
 }
 
-// attempt sends the request and reads a short answer whole.
-func (x *run) attempt(ctx context.Context, target fleet.Target) {
-	crashes := x.suspects.Crashes(x.request)
-	reply := x.sender.Send(ctx, target, x.request)
+// attempt sends the request and reads a short answer whole; n counts attempts.
+func (x *run) attempt(ctx context.Context, target fleet.Target, request Request, n int) {
+	crashes := x.suspects.Crashes(request)
+	reply := x.sender.Send(ctx, target, request)
 	var body []byte
 	if answer, ok := reply.(Answer); ok {
 		body, reply = x.collect(answer)
@@ -252,38 +257,38 @@
 	var told <-chan struct{}
 	switch r := reply.(type) {
 	case Lost:
-		told = x.brokeOff(ctx, target, crashes)
+		told = x.brokeOff(ctx, target, request, crashes)
 	case Answer:
 		if r.Body != nil {
 			r.Body = &watched{ReadCloser: r.Body, ended: func(bytes int, err error) {
 				if errors.Is(err, io.EOF) {
-					x.answered(crashes)
+					x.answered(request, crashes)
 				} else if bytes == 0 {
-					if told := x.brokeOff(ctx, target, crashes); told != nil {
+					if told := x.brokeOff(ctx, target, request, crashes); told != nil {
 						<-told
 					}
 				}
 			}}
 			reply = r
 		} else if r.Signed {
-			x.answered(crashes)
+			x.answered(request, crashes)
 		}
 	}
-	x.results <- attemptEnd{target: target, reply: reply, body: body, told: told}
+	x.results <- attemptEnd{n: n, target: target, reply: reply, body: body, told: told}
 }
 
 // brokeOff tells of an attempt that ended without a byte of its answer.
-func (x *run) brokeOff(ctx context.Context, target fleet.Target, crashes int) <-chan struct{} {
+func (x *run) brokeOff(ctx context.Context, target fleet.Target, request Request, crashes int) <-chan struct{} {
 	if ctx.Err() != nil {
 		return nil
 	}
-	return x.suspects.BrokeOff(ctx, target, x.request, crashes)
+	return x.suspects.BrokeOff(ctx, target, request, crashes)
 }
 
 // answered clears a request that had crashes.
-func (x *run) answered(crashes int) {
+func (x *run) answered(request Request, crashes int) {
 	if crashes > 0 {
-		x.suspects.Answered(x.request)
+		x.suspects.Answered(request)
 	}
 }
 
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -25,14 +25,16 @@
 		mu    sync.Mutex
 		steps []func(ctx context.Context) Reply
 		sent  []string
+		after []int
 		ended int
 	}
 )
 
-func (s *script) Send(ctx context.Context, target fleet.Target, _ Request) Reply {
+func (s *script) Send(ctx context.Context, target fleet.Target, request Request) Reply {
 	s.mu.Lock()
 	n := len(s.sent)
 	s.sent = append(s.sent, target.ID())
+	s.after = append(s.after, request.After)
 	step := s.steps[min(n, len(s.steps)-1)]
 	s.mu.Unlock()
 	defer func() {
@@ -84,11 +86,14 @@
 	}
 	sender := &script{steps: steps}
 	parts.Fleet, parts.Sender, parts.Domain, parts.Scope = f, sender, "a", tally.NoopScope
-	r := New(parts)
-	end := r.Serve(ctx, Request{ID: "r", After: -1}, routes.Route{
+	route := routes.Route{
 		Kind: kind, Shares: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2,
 		Timeout: 400 * time.Millisecond, TargetLatency: 80 * time.Millisecond,
-	})
+	}
+	if kind == routes.Streaming {
+		route.Resumable, route.MaxAttempts = true, 3
+	}
+	end := New(parts).Serve(ctx, Request{ID: "r", After: -1}, route)
 	return end, sender
 }
 
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -165,5 +165,11 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// Repeatable reports whether a request may run more than once. A stream may if it
+// can be taken up after the events that were received.
+func (r Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
 // Attempts returns how many endpoints one request may reach.
 func (r Route) Attempts() int { return max(1, r.MaxAttempts) }
