feat(relay): a stream that falls silent goes on elsewhere too

A stream that has begun and brings nothing for 1.2 s is closed and taken up at another endpoint, as items of batches are. Callers leave after two seconds or more. The case 'fallen silent' of TestStreamsGoOn ran into its time limit before.

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -18,6 +18,9 @@
 const (
 	// maxEventBytes bounds one event of a stream that may go on elsewhere.
 	maxEventBytes = 1 << 20
+	// stallLimit is how long a stream that has begun may bring nothing: a slow
+	// endpoint's events come every 0.3 s, and callers leave after two seconds.
+	stallLimit = 1200 * time.Millisecond
 	// unnumbered stands for the id of what has none, such as a comment.
 	unnumbered = -1
 )
@@ -41,6 +44,8 @@
 	// ready is what can be read, last the id of the last event in it or before.
 	ready []byte
 	last  int
+	// begun says that an event came from the present endpoint.
+	begun bool
 	err   error
 }
 
@@ -79,6 +84,12 @@
 func (r *resuming) next() ([]byte, error) {
 	var raw []byte
 	id := unnumbered
+	if r.begun {
+		// A read that waits ends with the body.
+		body := r.body
+		watchdog := time.AfterFunc(stallLimit, func() { _ = body.Close() })
+		defer watchdog.Stop()
+	}
 	for {
 		line, err := r.reader.ReadSlice('\n')
 		raw = append(raw, line...)
@@ -103,7 +114,7 @@
 			if id <= r.last && id != unnumbered {
 				return nil, errTwice
 			}
-			r.last = max(r.last, id)
+			r.last, r.begun = max(r.last, id), true
 			return raw, nil
 		}
 	}
@@ -139,7 +150,7 @@
 		done := x.await(x.state.Sent)
 		answer, ok := done.reply.(Answer)
 		if ok && answer.Status == 200 && answer.Streamed && answer.Signed && answer.Version == r.version {
-			r.body = answer.Body
+			r.body, r.begun = answer.Body, false
 			r.reader.Reset(answer.Body)
 			event.StreamResumed.Log(x.logger, zap.String("request", x.request.ID), zap.String("from", from),
 				zap.String("endpoint", done.target.ID()), zap.Int("after", r.last), zap.Error(cause))
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// silentAfter is a stream that brings some events and then nothing.
+func silentAfter(text string) func(context.Context) Reply {
+	return func(context.Context) Reply {
+		reader, writer := io.Pipe()
+		go func() {
+			// An error means that the reader has left.
+			_, _ = io.WriteString(writer, text)
+		}()
+		return Answer{Status: 200, Signed: true, Streamed: true, Length: -1, Version: 1, Body: reader}
+	}
+}
+
 // after answers once some time has passed.
 func after(pause time.Duration, step func(context.Context) Reply) func(context.Context) Reply {
 	return func(ctx context.Context) Reply {
@@ -73,6 +85,11 @@
 			[]int{-1, 1},
 			eventsOf(0, 4), true,
 		},
+		{
+			"fallen silent", routes.Streaming,
+			steps{silentAfter(eventsOf(0, 2)), streamOf(1, eventsOf(2, 4), false)},
+			[]int{-1, 1}, eventsOf(0, 4), true,
+		},
 		{
 			"broken before an event", routes.Streaming,
 			steps{streamOf(1, "", true), streamOf(1, eventsOf(0, 4), false)},
