test(soak): requests that crash endpoints, and streams that go on elsewhere

Each fault is joined, one time in five, by a request that ends the endpoints that run it; callers ask for streams all the while and compare each whole one event by event. Drawn apart, so that old seeds bring the faults they brought.

--- a/integ/batch_test.go
+++ b/integ/batch_test.go
@@ -220,13 +220,19 @@
 		id := fmt.Sprint("talk-", i)
 		status, body := s.send(http.MethodPost, s.hosts[i%2].callers, talkPath+"x", id, []byte("x"))
 		checkStatus(t, "a stream", status, http.StatusOK)
-		var want strings.Builder
-		for n := range stand.Events(id) {
-			fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", n, stand.Event(id, n))
-		}
-		if string(body) != want.String() {
-			t.Errorf("got %q, want %q", body, want.String())
-		}
+		checkStream(t, id, body)
+	}
+}
+
+// checkStream compares a whole answer with all events of a request.
+func checkStream(t testing.TB, id string, body []byte) {
+	t.Helper()
+	var want strings.Builder
+	for n := range stand.Events(id) {
+		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", n, stand.Event(id, n))
+	}
+	if string(body) != want.String() {
+		t.Errorf("stream %s is %q, want %q", id, body, want.String())
 	}
 }
 
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/currantloft/currantloft/fakes/shelf"
+	"github.com/currantloft/currantloft/platform/stand"
 )
 
 const (
@@ -40,6 +41,8 @@
 type soak struct {
 	*site
 	random *rand.Rand
+	// extra draws what came later, so that old seeds bring what they brought.
+	extra *rand.Rand
 	// restarts are the hosts that are to start again.
 	restarts sync.WaitGroup
 	mu       sync.Mutex
@@ -96,6 +99,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		site: newSite(t, soakHosts, soakLimit), random: rand.New(rand.NewPCG(seed, 0)),
+		extra:   rand.New(rand.NewPCG(seed, 1)),
 		stopped: make(map[*host]bool),
 	}
 	stop := make(chan struct{})
@@ -103,6 +107,7 @@
 	tasks.Go(func() { s.submitAll(stop) })
 	tasks.Go(func() { s.readAll(stop) })
 	tasks.Go(func() { s.callAll(stop) })
+	tasks.Go(func() { s.talkAll(stop) })
 	s.inject()
 	close(stop)
 	tasks.Wait()
@@ -143,6 +148,12 @@
 			e.BreakAfter(1 + s.random.IntN(3))
 			time.AfterFunc(span, func() { e.BreakAfter(0) })
 		}
+		if s.extra.IntN(5) == 0 {
+			// Ends the endpoints that run it; whether it is answered doesn't matter.
+			path := []string{plainPath, "/once/", talkPath}[s.extra.IntN(3)]
+			id := fmt.Sprint("crash-", s.extra.Uint64())
+			s.restarts.Go(func() { s.send(http.MethodPost, h.callers, path+"x", id, []byte(stand.CrashMark)) })
+		}
 		time.Sleep(time.Duration(s.random.Int64N(int64(2 * soakPause))))
 	}
 }
@@ -243,6 +254,19 @@
 	})
 }
 
+// talkAll asks for streams, which go on elsewhere when one breaks off.
+func (s *soak) talkAll(stop <-chan struct{}) {
+	n := 0
+	until(stop, 60*time.Millisecond, func() {
+		n++
+		id := fmt.Sprint("talk-", n)
+		status, body := s.send(http.MethodPost, s.hosts[n%len(s.hosts)].callers, talkPath+"x", id, []byte("x"))
+		if status == http.StatusOK {
+			checkStream(s.t, id, body)
+		}
+	})
+}
+
 // recover ends all faults and waits until all hosts serve.
 func (s *soak) recover() {
 	s.store.TurnAway(0)
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -88,7 +88,8 @@
 		{
 			"fallen silent", routes.Streaming,
 			steps{silentAfter(eventsOf(0, 2)), streamOf(1, eventsOf(2, 4), false)},
-			[]int{-1, 1}, eventsOf(0, 4), true,
+			[]int{-1, 1},
+			eventsOf(0, 4), true,
 		},
 		{
 			"broken before an event", routes.Streaming,
