fix(batch): a stop during an outage ends

Cause: a leaving keeper with results that could not last wrote them again and again without looking whether it was closed; Close never returned, the process went on at full speed until it was killed at the end of its grace.

TestCloseDuringAnOutage: no end within 10 s before, 5 times in a row with the race detector after.

--- a/batch/job.go
+++ b/batch/job.go
@@ -168,7 +168,7 @@
 		if done {
 			return
 		}
-		if results != nil {
+		if results != nil && k.ctx.Err() == nil {
 			k.writeChunk(j, n, results)
 			continue
 		}
