--- a/poison/poison.go
+++ b/poison/poison.go
@@ -10,6 +10,9 @@
 // be back at another node sooner. So a node that ends a request after a crash
 // tells all others first and waits for them, for spreadLimit at most.
 //
+// Nodes that give out no places can't run a request alone. They count crashes by
+// content instead, one after another, in a Ledger.
+//
 // # Usage
 //
 //	ward := poison.New(members, store, logger)
@@ -19,6 +22,11 @@
 //	}
 //	ward.Crashed(fingerprint, sole)
 //	ward.Spread(ctx) // before the request's failure is answered
+//
+//	ledger := poison.NewLedger(time.Now)
+//	atStart := ledger.Crashes(fingerprint)
+//	news, fresh := ledger.Crashed(fingerprint, atStart) // fresh news go to all nodes
+//	left, barred := ledger.Barred(fingerprint)
 package poison
 
 import (
