fix(member): a heartbeat holds no lock that a change of the membership needs

Cause: sendHeartbeat held the lock of its link during the call. Apart from that, any change of the membership waited for the slowest heartbeat, up to an interval, with the lock of Members held.

Change: a link has two locks. One serializes exchanges and is taken with no other lock held; the other guards the fields and is never held during a call.

Ruled out: rebuilding the links later from another goroutine; the suspension would then end before the node knows that it was declared dead.

--- a/member/beat.go
+++ b/member/beat.go
@@ -91,53 +91,50 @@
 }
 
 func (m *Members) hasChanges(l *link) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	changed, _ := m.store.Since(l.pushedSeq, l.node.Name())
-	return len(changed) > 0 && l.missed == 0
+	node, p, missed := l.snapshot()
+	changed, _ := m.store.Since(p.pushedSeq, node.Name())
+	return len(changed) > 0 && missed == 0
 }
 
 // sendHeartbeat sends one heartbeat. After maxMissed failures in a row it
 // declares the node dead unless another way to reach it works.
 func (m *Members) sendHeartbeat(ctx context.Context, l *link) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	err := m.exchange(ctx, l)
+	l.exchanging.Lock()
+	defer l.exchanging.Unlock()
+	node, p, _ := l.snapshot()
+	answered, err := m.exchange(ctx, node, p)
 	if err == nil {
-		l.missed = 0
+		l.recordAnswer(answered)
 		return
 	}
 	if ctx.Err() != nil {
 		return
 	}
-	l.missed++
-	if l.missed == maxMissed-1 {
-		event.MemberSilentLink.Log(m.logger, zap.String("member", l.node.Name()), zap.Error(err))
-		m.pool.Forget(l.node.PeerAddress())
+	missed := l.recordMiss()
+	if missed == maxMissed-1 {
+		event.MemberSilentLink.Log(m.logger, zap.String("member", node.Name()), zap.Error(err))
+		m.pool.Forget(node.PeerAddress())
 	}
-	if l.missed >= maxMissed && !m.reachable(ctx, l.node) {
-		m.declareDead(l.node)
+	if missed >= maxMissed && !m.reachable(ctx, node) {
+		m.declareDead(node)
 	}
 }
 
 // exchange sends the facts that the other node lacks and applies those that it
-// returns.
-func (m *Members) exchange(ctx context.Context, l *link) error {
-	changed, upto := m.store.Since(l.pushedSeq, l.node.Name())
+// returns. It returns the progress after the exchange.
+func (m *Members) exchange(ctx context.Context, node Node, p progress) (progress, error) {
+	changed, upto := m.store.Since(p.pushedSeq, node.Name())
 	call := &wirepb.Exchange{
 		From:             m.config.Self.GetName(),
 		Facts:            changed,
-		Since:            l.pulledSeq,
-		SinceIncarnation: l.storeIncarnation,
+		Since:            p.pulledSeq,
+		SinceIncarnation: p.storeIncarnation,
 	}
-	reply, err := m.exchangeWith(ctx, l.node.PeerAddress(), call)
+	reply, err := m.exchangeWith(ctx, node.PeerAddress(), call)
 	if err != nil {
-		return err
+		return p, err
 	}
-	l.pushedSeq = upto
-	l.pulledSeq = reply.GetUpto()
-	l.storeIncarnation = reply.GetIncarnation()
-	return nil
+	return progress{storeIncarnation: reply.GetIncarnation(), pushedSeq: upto, pulledSeq: reply.GetUpto()}, nil
 }
 
 // Notify sends facts directly to all other alive nodes and returns when each call
@@ -303,19 +300,20 @@
 		m.introductionLinks[address] = l
 	}
 	m.mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.exchanging.Lock()
+	defer l.exchanging.Unlock()
+	_, p, _ := l.snapshot()
 	call := &wirepb.Exchange{
 		From:             m.config.Self.GetName(),
 		Facts:            []*wirepb.Fact{m.store.Get(keyPrefix + m.config.Self.GetName())},
-		Since:            l.pulledSeq,
-		SinceIncarnation: l.storeIncarnation,
+		Since:            p.pulledSeq,
+		SinceIncarnation: p.storeIncarnation,
 	}
 	if calleeFact != nil {
 		call.Facts = append(call.Facts, calleeFact)
 	}
 	reply, err := m.exchangeWith(ctx, address, call)
 	if err == nil {
-		l.pulledSeq, l.storeIncarnation = reply.GetUpto(), reply.GetIncarnation()
+		l.recordAnswer(progress{storeIncarnation: reply.GetIncarnation(), pulledSeq: reply.GetUpto()})
 	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -87,16 +87,27 @@
 		received     atomic.Int64
 	}
 
-	// link is the state of heartbeats to one node: the sequence numbers up to which
-	// facts were pushed and pulled, the incarnation of the peer's fact store that
-	// pulledSeq refers to, and the heartbeats missed in a row.
+	// link holds the state of heartbeats to one node.
 	link struct {
-		node             Node
-		mu               sync.Mutex
+		// exchanging serializes the exchanges on the link. It is held while the peer
+		// answers, so it must not be taken while another lock is held.
+		exchanging sync.Mutex
+
+		// mu guards the fields below. No call is made and no other lock is taken while
+		// it is held.
+		mu       sync.Mutex
+		node     Node
+		progress progress
+		missed   int
+	}
+
+	// progress is how far the facts of two nodes have been exchanged: the sequence
+	// numbers up to which they were pushed and pulled, and the incarnation of the
+	// peer's fact store that pulledSeq refers to.
+	progress struct {
 		storeIncarnation uint64
 		pushedSeq        uint64
 		pulledSeq        uint64
-		missed           int
 	}
 )
 
@@ -231,12 +242,10 @@
 	links := make(map[string]*link)
 	for _, n := range view.Targets() {
 		l := m.links[n.Name()]
-		if l == nil || l.node.Incarnation() != n.Incarnation() {
+		if l == nil || !l.isTo(n) {
 			l = &link{}
 		}
-		l.mu.Lock()
-		l.node = n
-		l.mu.Unlock()
+		l.setNode(n)
 		links[n.Name()] = l
 	}
 	m.links = links
@@ -263,6 +272,43 @@
 	}
 }
 
+// isTo reports whether the link leads to this incarnation of the node.
+func (l *link) isTo(n Node) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Incarnation() == n.Incarnation()
+}
+
+func (l *link) setNode(n Node) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node = n
+}
+
+// snapshot returns the node, the progress of exchanges with it, and how many
+// heartbeats it has missed in a row.
+func (l *link) snapshot() (n Node, p progress, missed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node, l.progress, l.missed
+}
+
+// recordAnswer records an exchange that the peer has answered.
+func (l *link) recordAnswer(p progress) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.progress, l.missed = p, 0
+}
+
+// recordMiss records an exchange without an answer and returns how many there
+// were in a row.
+func (l *link) recordMiss() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.missed++
+	return l.missed
+}
+
 // currentLinks returns a copy of the list of links.
 func (m *Members) currentLinks() []*link {
 	m.mu.Lock()
