test(batch): a keeper of the fake cluster lists itself from its start

Cause of the one failure of TestTakeoverWaitsForPeers (891 ms, want up to 600 ms): newKeeper started the keeper and only then added it to the cluster. The roster lists its own node from the start; the fake did not until then.

Shown: with 460 ms of sleep between the two steps the test took 885, 883 and 884 ms, failing 3 of 3; with this change and the same sleep it passes 3 of 3. Without the sleep 30 of 30 with the race detector. Bound and check are unchanged.

Ruled out: failed runs of the item (the engine of the test can't fail), a lost wake-up of the scheduler (its channel keeps one), a failed takeover (the store of the test answers at once).

--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -74,12 +74,14 @@
 	return incarnation == 1 && (name == p.name || !p.cluster.dead[name])
 }
 
+// ActiveNames lists this node first, as the roster does, even before newKeeper has
+// added it to the cluster: its keeper runs already then.
 func (p clusterPeers) ActiveNames() []string {
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
-	var names []string
+	names := []string{p.name}
 	for name := range p.cluster.keepers {
-		if name == p.name || !p.cluster.dead[name] {
+		if name != p.name && !p.cluster.dead[name] {
 			names = append(names, name)
 		}
 	}
