feat(batch): reward calls of items

Change: an item whose text is complete waits for its reward call, which goes through the route of its host and path in force when it is sent, with a deadline that ends with the batch. Repeated until a whole signed 2xx has arrived; max_attempts answers of 500, or three endpoints in a row that crash, end the item as errored. The end of the batch cancels the calls. Complete texts without a score are in backups and checkpoints, so that a takeover or a planned stop samples nothing again; a repeated group keeps its score only for the same call.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -37,6 +37,18 @@
 		// EstimatedTokens is the caller's estimate of the output's length in tokens,
 		// 0 if unknown.
 		EstimatedTokens int
+		// Reward is the call whose answer scores the item's text. Without an ID the
+		// item needs no score.
+		Reward RewardCall
+	}
+
+	// RewardCall is a POST request that scores the text of an item. It is sent through
+	// the route of its host and path and may run more than once.
+	RewardCall struct {
+		ID   string
+		Host string
+		Path string
+		Body []byte
 	}
 
 	// Submission is a batch as submitted by a trainer.
@@ -63,6 +75,9 @@
 		Failed   bool   `json:"failed,omitempty"`
 		Text     string `json:"text"`
 		Versions []int  `json:"versions,omitempty"`
+		// Score is the signature of the answer to the item's reward call, empty for an
+		// item without one.
+		Score string `json:"score,omitempty"`
 	}
 
 	// Event is one piece of an item's output.
--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -46,7 +46,7 @@
 		list := j.checkpoint(maxBytes)
 		newEvents := 0
 		for _, r := range list {
-			newEvents += max(0, len(r.Texts)-j.checkpointed[r.Item])
+			newEvents += max(0, r.weight()-j.checkpointed[r.Item])
 		}
 		if newEvents >= minCheckpointEvents {
 			writes = append(writes, checkpointWrite{job: j, list: list, replace: j.checkpointed != nil})
@@ -65,7 +65,7 @@
 		}
 		events := make(map[string]int, len(w.list))
 		for _, r := range w.list {
-			events[r.Item] = len(r.Texts)
+			events[r.Item] = r.weight()
 		}
 		k.mu.Lock()
 		w.job.checkpointed = events
@@ -73,14 +73,14 @@
 	}
 }
 
-// checkpoint returns the partial output of unfinished items and the results
-// that are still pending, the longest first, up to maxBytes. The caller holds
+// checkpoint returns the partial output of unfinished items, the complete texts that
+// wait for their score, and the results that are still pending, the longest first, up to maxBytes. The caller holds
 // the lock.
 func (j *job) checkpoint(maxBytes int) []PartialOutput {
 	var list []PartialOutput
 	for i := range j.items {
 		state := &j.items[i]
-		if len(state.texts) < minCheckpointEvents {
+		if len(state.texts) < minCheckpointEvents || state.reward != nil {
 			continue
 		}
 		list = append(list, PartialOutput{
@@ -88,10 +88,9 @@
 			Versions: append([]int(nil), state.versions...),
 		})
 	}
-	for _, r := range j.results.pending {
-		if !r.Failed {
-			list = append(list, PartialOutput{Item: r.Item, Texts: strings.Split(r.Text, "\n"), Versions: r.Versions, Complete: true})
-		}
+	for _, complete := range j.completeTexts() {
+		complete.Texts = strings.Split(complete.Texts[0], "\n")
+		list = append(list, complete)
 	}
 	sort.SliceStable(list, func(a, b int) bool { return len(list[a].Texts) > len(list[b].Texts) })
 	for n, r := range list {
@@ -123,6 +122,23 @@
 	return err
 }
 
+// weight returns how much a partial output counts towards the next checkpoint: its
+// events, and enough for a checkpoint once its text waits for a score.
+func (r PartialOutput) weight() int {
+	if r.Complete && r.RewardID != "" {
+		return len(r.Texts) + minCheckpointEvents
+	}
+	return len(r.Texts)
+}
+
+// extends reports whether a stored partial output holds more than a backup.
+func (r PartialOutput) extends(current partial) bool {
+	if current.complete {
+		return current.score == "" && r.Score != ""
+	}
+	return r.Complete || len(r.Texts) > len(current.texts)
+}
+
 // loadCheckpoint adds a batch's stored checkpoint to the partial output held
 // here, except for items of which this node's backup holds at least as much.
 // Items in neither start from the beginning.
@@ -143,9 +159,9 @@
 	defer k.mu.Unlock()
 	now := time.Now()
 	for _, r := range list {
-		if current, ok := k.partials.items[r.Item]; ok && (current.complete || !r.Complete && len(current.texts) >= len(r.Texts)) {
+		if current, ok := k.partials.items[r.Item]; ok && !r.extends(current) {
 			continue
 		}
-		k.partials.put(r.Item, partial{texts: r.Texts, lastEvent: r.LastEvent, versions: r.Versions, complete: r.Complete, savedAt: now})
+		k.partials.put(r.Item, r.toPartial(r.Texts, now))
 	}
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -47,7 +47,7 @@
 		// counts the events sent to it, by item.
 		backupNode string
 		backedUp   map[string]int
-		// checkpointed is the number of events stored in the checkpoint, by item; nil
+		// checkpointed is the weight of what is stored in the checkpoint, by item; nil
 		// if there is no checkpoint.
 		checkpointed map[string]int
 		// previous is the head with the previous keeper, until that node has been
@@ -94,6 +94,9 @@
 		crashes       int
 		avoidEndpoint string
 		notBefore     time.Time
+		// reward is the state of the item's reward call once its text is complete, nil
+		// before and for an item without such a call.
+		reward *rewardState
 	}
 )
 
@@ -166,6 +169,9 @@
 	for _, r := range j.running {
 		r.cancel()
 	}
+	for i := range j.items {
+		j.items[i].reward.cancelAttempts()
+	}
 }
 
 // writeLoop stores results durably, one chunk after the other.
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -119,10 +119,12 @@
 	Deps struct {
 		Name        string
 		Incarnation uint64
-		Store       object.Store
-		ValueBytes  int
-		Fleet       *fleet.Fleet
-		Engine      Engine
+		// Domain is the node's failure domain.
+		Domain     string
+		Store      object.Store
+		ValueBytes int
+		Fleet      *fleet.Fleet
+		Engine     Engine
 		// EndpointExited reports whether an endpoint's process has ended.
 		EndpointExited func(ctx context.Context, target fleet.Target) bool
 		Peers          Peers
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -168,10 +168,16 @@
 func newKeeper(t *testing.T, c *cluster, store object.Store, engine Engine, name string) *Keeper {
 	t.Helper()
 	f := fleet.New(time.Now)
+	for i := range 4 {
+		f.Put(fleet.Entry{ID: fmt.Sprint("judge", i), Service: "judge", Address: "x:1", Slots: 6})
+	}
 	f.Put(fleet.Entry{ID: "e", Service: "pool", Address: "x:1", Slots: 16, Versions: map[string]int{testModel: 1}})
 	table := routes.NewTable(1, []routes.Route{{
 		Host: "h", Prefix: "/b/", Kind: routes.Rollout, Shares: []routes.Share{{Service: "pool", Weight: 1}},
 		MaxAttempts: 3, MaxQueue: time.Minute, ResultDeadline: testLimit,
+	}, {
+		Host: "h", Prefix: rewardPath, Kind: routes.Idempotent, Shares: []routes.Share{{Service: "judge", Weight: 1}},
+		MaxAttempts: 2, TargetLatency: 200 * time.Millisecond, Timeout: testLimit,
 	}}, nil, routes.Limits{})
 	k := New(Deps{
 		Name: name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
@@ -192,7 +198,11 @@
 func decodeTest(id, host, path string, raw []byte) (Submission, error) {
 	s := Submission{ID: id, Host: host, Path: path, Model: testModel, DesiredGroups: 100, Raw: raw}
 	for _, name := range strings.Fields(string(raw)) {
-		s.Items = append(s.Items, Item{ID: name, Group: name, Path: "/b/" + name, Body: []byte("body of " + name)})
+		item := Item{ID: name, Group: name, Path: "/b/" + name, Body: []byte("body of " + name)}
+		if strings.HasPrefix(name, scoredPrefix) {
+			item.Reward = RewardCall{ID: "reward-" + name, Host: "h", Path: rewardPath + name, Body: []byte("score " + name)}
+		}
+		s.Items = append(s.Items, item)
 	}
 	return s, nil
 }
--- a/batch/leave.go
+++ b/batch/leave.go
@@ -34,6 +34,8 @@
 		case <-ticker.C:
 		}
 	}
+	// Texts that were completed since the first backups are not sampled again.
+	k.sendBackups(ctx)
 	k.mu.Lock()
 	var handedOver []Head
 	for id, j := range k.jobs {
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -17,8 +17,10 @@
 	backupInterval = 600 * time.Millisecond
 	// minBackupEvents is how many new events an item needs before they are sent.
 	minBackupEvents = 8
-	// sentComplete marks an item whose complete text was sent.
+	// sentComplete marks an item whose complete text was sent, sentScored one whose
+	// complete text was sent with its score.
 	sentComplete = -1
+	sentScored   = -2
 	// maxPartialBytes limits the text of all partial output that is held.
 	maxPartialBytes = 6 << 20
 )
@@ -38,7 +40,10 @@
 		versions  []int
 		// complete reports that nothing is left to generate.
 		complete bool
-		savedAt  time.Time
+		// score is the score of a complete text, empty if there is none yet, and
+		// rewardID the ID of the reward call that it answers.
+		score, rewardID string
+		savedAt         time.Time
 	}
 
 	// PartialOutput is the partial output of an item, as sent to the node that
@@ -51,6 +56,10 @@
 		LastEvent int      `json:"last"`
 		Versions  []int    `json:"versions"`
 		Complete  bool     `json:"whole,omitempty"`
+		// Score is the score of a complete text, empty if there is none yet, and
+		// RewardID the ID of the reward call that it answers.
+		Score    string `json:"score,omitempty"`
+		RewardID string `json:"scorer,omitempty"`
 	}
 )
 
@@ -129,11 +138,18 @@
 			}
 			texts = append(current.texts[:r.Offset:r.Offset], r.Texts...)
 		}
-		k.partials.put(r.Item, partial{texts: texts, lastEvent: r.LastEvent, versions: r.Versions, complete: r.Complete, savedAt: now})
+		k.partials.put(r.Item, r.toPartial(texts, now))
 	}
 	return allStored
 }
 
+func (r PartialOutput) toPartial(texts []string, savedAt time.Time) partial {
+	return partial{
+		texts: texts, lastEvent: r.LastEvent, versions: r.Versions, complete: r.Complete,
+		score: r.Score, rewardID: r.RewardID, savedAt: savedAt,
+	}
+}
+
 // sendBackups sends the partial output generated since the last call to the
 // nodes that would take over.
 func (k *Keeper) sendBackups(ctx context.Context) {
@@ -204,10 +220,39 @@
 		})
 		j.backedUp[it.ID] = len(state.texts)
 	}
+	for _, complete := range j.completeTexts() {
+		mark := sentComplete
+		if complete.Score != "" {
+			mark = sentScored
+		}
+		if j.backedUp[complete.Item] != mark {
+			list = append(list, complete)
+			j.backedUp[complete.Item] = mark
+		}
+	}
+	return list
+}
+
+// completeTexts returns the items whose text is complete but whose result is not
+// durable: those that wait for their score and those whose result is pending.
+func (j *job) completeTexts() []PartialOutput {
+	pending := make(map[string]Result, len(j.results.pending))
 	for _, r := range j.results.pending {
-		if !r.Failed && j.backedUp[r.Item] != sentComplete {
-			list = append(list, PartialOutput{Item: r.Item, Texts: []string{r.Text}, Versions: r.Versions, Complete: true})
-			j.backedUp[r.Item] = sentComplete
+		pending[r.Item] = r
+	}
+	var list []PartialOutput
+	for i := range j.submission.Items {
+		it, state := &j.submission.Items[i], &j.items[i]
+		if r, ok := pending[it.ID]; ok {
+			if !r.Failed {
+				list = append(list, PartialOutput{
+					Item: it.ID, Texts: []string{r.Text}, Versions: r.Versions, Complete: true, Score: r.Score, RewardID: it.Reward.ID,
+				})
+			}
+		} else if state.reward != nil {
+			list = append(list, PartialOutput{
+				Item: it.ID, Texts: []string{strings.Join(state.texts, "\n")}, Versions: state.versions, Complete: true, RewardID: it.Reward.ID,
+			})
 		}
 	}
 	return list
@@ -231,9 +276,13 @@
 			continue
 		}
 		if r, ok := byItem[it.ID]; ok {
-			k.partials.put(it.ID, partial{texts: []string{r.Text}, versions: r.Versions, complete: true, savedAt: now})
+			k.partials.put(it.ID, partial{
+				texts: []string{r.Text}, versions: r.Versions, complete: true, score: r.Score, rewardID: it.Reward.ID, savedAt: now,
+			})
 		} else if len(state.texts) > 0 {
-			k.partials.put(it.ID, partial{texts: state.texts, lastEvent: state.lastEvent, versions: state.versions, savedAt: now})
+			k.partials.put(it.ID, partial{
+				texts: state.texts, lastEvent: state.lastEvent, versions: state.versions, complete: state.reward != nil, savedAt: now,
+			})
 		}
 	}
 }
@@ -248,7 +297,13 @@
 		switch {
 		case !ok:
 		case p.complete:
-			k.recordResult(j, Result{Item: it.ID, Text: strings.Join(p.texts, "\n"), Versions: p.versions})
+			state := &j.items[i]
+			state.texts, state.versions = p.texts, p.versions
+			if p.score != "" && p.rewardID == it.Reward.ID {
+				k.recordScored(j, i, p.score)
+			} else {
+				k.finishText(j, i)
+			}
 			complete++
 		default:
 			j.items[i].texts, j.items[i].lastEvent, j.items[i].versions = p.texts, p.lastEvent, p.versions
--- a/batch/run.go
+++ b/batch/run.go
@@ -94,6 +94,7 @@
 	now := time.Now()
 	waiting := make(map[string][]WaitingItem)
 	var refs []itemRef
+	rewards := make(map[string][]itemRef)
 	unplaced := 0
 	for _, j := range k.jobs {
 		if j.results.Ended() || j.released {
@@ -110,6 +111,12 @@
 			if k.abandonIfExpired(j, i, now) || now.Before(j.items[i].notBefore) {
 				continue
 			}
+			if j.items[i].reward != nil {
+				if service, ok := k.rewardService(j, i, now); ok {
+					rewards[service] = append(rewards[service], itemRef{job: j, item: i})
+				}
+				continue
+			}
 			refs = append(refs, itemRef{job: j, item: i})
 			waiting[service] = append(waiting[service], waitingOf(j, i, len(refs)-1, k.tokensPerEvent(service)))
 		}
@@ -122,6 +129,7 @@
 			unplaced--
 		}
 	}
+	k.scheduleRewards(rewards, now)
 	return unplaced > 0 || k.anyRunning()
 }
 
@@ -211,6 +219,7 @@
 	it := j.submission.Items[i]
 	event.ItemAbandoned.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
 		zap.String("reason", reason), zap.Int("errors", j.items[i].serverErrors))
+	j.items[i].reward.cancelAttempts()
 	k.recordResult(j, Result{Item: it.ID, Failed: true, Text: strings.Join(j.items[i].texts, "\n"), Versions: j.items[i].versions})
 }
 
@@ -370,8 +379,7 @@
 			zap.String("endpoint", target.ID()), zap.Int("events", len(state.texts)), zap.Int("length", it.EstimatedTokens),
 			zap.Ints("versions", state.versions), zap.Duration("age", j.head.Age(time.Now())))
 		j.lastDone = lastItem{id: it.ID, endpoint: target.ID(), events: len(state.texts), ran: time.Since(r.startedAt)}
-		k.recordResult(j, Result{Item: it.ID, Text: strings.Join(state.texts, "\n"), Versions: state.versions})
-		state.texts = nil
+		k.finishText(j, i)
 		return
 	}
 	if k.ctx.Err() != nil {
--- a/edge/encode.go
+++ b/edge/encode.go
@@ -42,7 +42,7 @@
 func encodePage(page batch.Page) *wirepb.BatchPage {
 	out := &wirepb.BatchPage{Kept: true, Total: int64(page.Total), Next: int64(page.Next)}
 	for _, r := range page.Results {
-		result := &wirepb.BatchResult{Item: r.Item, Failed: r.Failed, Text: []byte(r.Text)}
+		result := &wirepb.BatchResult{Item: r.Item, Failed: r.Failed, Text: []byte(r.Text), Score: r.Score}
 		for _, v := range r.Versions {
 			result.Versions = append(result.Versions, int64(v))
 		}
@@ -54,7 +54,7 @@
 func decodePage(in *wirepb.BatchPage) batch.Page {
 	page := batch.Page{Total: int(in.GetTotal()), Next: int(in.GetNext())}
 	for _, r := range in.GetResults() {
-		result := batch.Result{Item: r.GetItem(), Failed: r.GetFailed(), Text: string(r.GetText())}
+		result := batch.Result{Item: r.GetItem(), Failed: r.GetFailed(), Text: string(r.GetText()), Score: r.GetScore()}
 		for _, v := range r.GetVersions() {
 			result.Versions = append(result.Versions, int(v))
 		}
@@ -66,7 +66,9 @@
 func encodePartials(partials []batch.PartialOutput) *wirepb.BatchRests {
 	out := &wirepb.BatchRests{}
 	for _, r := range partials {
-		partial := &wirepb.BatchRest{Item: r.Item, From: int64(r.Offset), Last: int64(r.LastEvent), Whole: r.Complete}
+		partial := &wirepb.BatchRest{
+			Item: r.Item, From: int64(r.Offset), Last: int64(r.LastEvent), Whole: r.Complete, Score: r.Score, Scorer: r.RewardID,
+		}
 		for _, text := range r.Texts {
 			partial.Texts = append(partial.Texts, []byte(text))
 		}
@@ -81,7 +83,10 @@
 func decodePartials(in *wirepb.BatchRests) []batch.PartialOutput {
 	var partials []batch.PartialOutput
 	for _, r := range in.GetRests() {
-		partial := batch.PartialOutput{Item: r.GetItem(), Offset: int(r.GetFrom()), LastEvent: int(r.GetLast()), Complete: r.GetWhole()}
+		partial := batch.PartialOutput{
+			Item: r.GetItem(), Offset: int(r.GetFrom()), LastEvent: int(r.GetLast()), Complete: r.GetWhole(),
+			Score: r.GetScore(), RewardID: r.GetScorer(),
+		}
 		for _, text := range r.GetTexts() {
 			partial.Texts = append(partial.Texts, string(text))
 		}
--- a/event/event.go
+++ b/event/event.go
@@ -120,6 +120,9 @@
 	BatchNotRemoved         = define(891, "batch_not_removed", zapcore.WarnLevel)
 	ItemMoved               = define(877, "item_moved", zapcore.DebugLevel)
 	ItemDone                = define(876, "item_done", zapcore.DebugLevel)
+	RewardCallFailed        = define(895, "reward_call_failed", zapcore.InfoLevel)
+	ItemScored              = define(896, "item_scored", zapcore.DebugLevel)
+	RewardRouteMissing      = define(897, "reward_route_missing", zapcore.WarnLevel)
 
 	VersionNamed       = define(880, "version_named", zapcore.InfoLevel)
 	VersionUnreadable  = define(881, "version_unreadable", zapcore.ErrorLevel)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,8 @@
 		Length int64
 		// Signed reports whether the answer has the endpoint's signature.
 		Signed bool
+		// Signature is that signature, empty for none.
+		Signature string
 		// Streamed reports whether the body is an event stream.
 		Streamed bool
 		// Version is the weight version that generates the answer, 0 if not stated.
