fix(edge): a node that does not know the endpoints yet is not ready

Cause: a node counted as ready once it had a configuration. Its list of endpoints came some milliseconds later (12 ms beside load); a request in between got 503 "the service has no endpoint".

Change: ready once the mirror has a complete list of endpoints of its own; updates of peers hold only changes and do not count.

Measured: TestEdgeNotReadyWithoutEndpoints fails without the change (readiness 200, the request 503) and passes with it.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -258,8 +258,11 @@
 	return rank == 0
 }
 
-// Ready reports whether the node accepts requests.
-func (e *Edge) Ready() bool { return !e.leaving.Load() && e.table.Load() != nil }
+// Ready reports whether the node accepts requests: it has a configuration and knows
+// the endpoints.
+func (e *Edge) Ready() bool {
+	return !e.leaving.Load() && e.table.Load() != nil && e.mirror.Listed(platform.KindEndpoints)
+}
 
 // Leaving reports whether the node is shutting down, so that callers should close
 // their connections to it.
--- a/fakes/memory/memory.go
+++ b/fakes/memory/memory.go
@@ -40,6 +40,8 @@
 		NoChanges bool
 		// StaleMiss makes stale reads of single objects return object.ErrNotFound.
 		StaleMiss bool
+		// FailLists is a kind of which every list fails, empty for none.
+		FailLists string
 	}
 
 	// Store is the fake store. It is safe for concurrent use.
@@ -158,6 +160,9 @@
 	names := s.Names(kind)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if kind == s.faults.FailLists {
+		return nil, 0, object.ErrUnavailable
+	}
 	entries := make([]object.Entry, 0, len(names))
 	for _, name := range names {
 		entries = append(entries, s.objects[kind][name])
--- a/integ/batch_test.go
+++ b/integ/batch_test.go
@@ -50,6 +50,27 @@
 	s.readComplete("b1", history, 12, 1)
 }
 
+// TestEdgeNotReadyWithoutEndpoints starts a host that can't list the endpoints: it
+// must not count as ready, and once it does, it must answer requests.
+func TestEdgeNotReadyWithoutEndpoints(t *testing.T) {
+	s := newSite(t, 1, siteTimeout)
+	h := s.hosts[0]
+	s.kill(h)
+	s.store.Memory.SetFaults(memory.Faults{FailLists: "servers"})
+	s.start(h)
+	s.eventually("the host has the configuration", func() bool {
+		status, _ := s.send(http.MethodPost, h.callerAddress, plainPath+"x", "r0", []byte("hello"))
+		return status == http.StatusServiceUnavailable
+	})
+	checkStatus(t, "readiness without endpoints", s.status(h, h.readyAddress, "/currantloft/readyz"), http.StatusServiceUnavailable)
+	s.store.Memory.SetFaults(memory.Faults{})
+	s.eventually("the host is ready", func() bool {
+		return s.status(h, h.readyAddress, "/currantloft/readyz") == http.StatusOK
+	})
+	status, _ := s.send(http.MethodPost, h.callerAddress, plainPath+"x", "r1", []byte("hello"))
+	checkStatus(t, "a request to the ready host", status, http.StatusOK)
+}
+
 // TestEdgeBadInput sends malformed requests: each gets a status and an error text,
 // none runs, and the host continues to serve.
 func TestEdgeBadInput(t *testing.T) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -114,6 +114,8 @@
 		// one.
 		revisions map[string]uint64
 		removals  map[string]uint64
+		// listed is true once the copy is complete, by a list of this node's own.
+		listed bool
 	}
 )
 
@@ -233,7 +235,18 @@
 		}
 	}
 	m.freshAt = time.Now()
-	return c.apply(changes, upTo, unavailable)
+	applied := c.apply(changes, upTo, unavailable)
+	c.listed = true
+	return applied
+}
+
+// Listed reports whether the copy of a kind has been complete once. Before that it
+// may lack objects that have not changed since this node started.
+func (m *Mirror) Listed(kind string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[kind]
+	return c != nil && c.listed
 }
 
 // apply applies the changes that are newer than the copy, and returns them.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -227,3 +227,20 @@
 	apply(7, "again", false)
 	node.await(t, map[string]string{"main": "again"}, bound)
 }
+
+// TestListedNeedsOwnList checks that updates of peers alone don't make a copy count
+// as complete: they hold only changes.
+func TestListedNeedsOwnList(t *testing.T) {
+	store := memory.New()
+	m := New(store, fleetPeer{fleet: &testFleet{}, rank: 1}, time.Second, zap.NewNop(), Kind{Name: kind, Apply: func(object.Change, bool) {}})
+	m.Apply([]Update{{Kind: kind, Revision: 9, Changes: []object.Change{{Entry: object.Entry{Name: "a", Revision: 9}}}}})
+	if m.Listed(kind) {
+		t.Error("listed after an update of a peer")
+	}
+	if !m.listKinds(t.Context()) || !m.Listed(kind) {
+		t.Error("not listed after a list")
+	}
+	if m.Listed("other") {
+		t.Error("a kind that is not mirrored is listed")
+	}
+}
