--- a/batch/dump.go
+++ b/batch/dump.go
@@ -6,9 +6,12 @@
 type JobState struct {
 	Head Head `json:"head"`
 	// Durable, Pending and Running count items.
-	Durable        int  `json:"listed"`
-	Pending        int  `json:"pending"`
-	Running        int  `json:"running"`
+	Durable int `json:"listed"`
+	Pending int `json:"pending"`
+	Running int `json:"running"`
+	// Scoring counts the items whose text is complete and whose reward call is not
+	// answered.
+	Scoring        int  `json:"scoring"`
 	CompleteGroups int  `json:"whole_groups"`
 	DesiredGroups  int  `json:"desired_groups"`
 	Chunks         int  `json:"chunks"`
@@ -24,7 +27,7 @@
 	states := make([]JobState, 0, len(k.jobs))
 	for _, j := range k.jobs {
 		states = append(states, JobState{
-			Head: j.head, Durable: j.results.Durable(), Pending: j.results.Pending(), Running: len(j.running),
+			Scoring: j.scoring(), Head: j.head, Durable: j.results.Durable(), Pending: j.results.Pending(), Running: len(j.running),
 			CompleteGroups: j.results.CompleteGroups(), DesiredGroups: j.submission.DesiredGroups, Chunks: j.results.Chunks(), Ended: j.results.Ended(),
 			Uncertain: time.Now().Before(j.uncertainUntil),
 		})
--- a/batch/job.go
+++ b/batch/job.go
@@ -147,11 +147,23 @@
 func (j *job) logFields() []zap.Field {
 	return []zap.Field{
 		zap.String("batch", j.head.ID), zap.Int("results", j.results.Durable()), zap.Int("total", j.results.Total()),
-		zap.Int("running", len(j.running)), zap.String("last_item", j.lastDone.id), zap.String("endpoint", j.lastDone.endpoint),
+		zap.Int("running", len(j.running)), zap.Int("scoring", j.scoring()), zap.String("last_item", j.lastDone.id), zap.String("endpoint", j.lastDone.endpoint),
 		zap.Int("events", j.lastDone.events), zap.Duration("ran", j.lastDone.ran),
 	}
 }
 
+// scoring returns how many items have a complete text and wait for their score. The
+// caller holds the lock.
+func (j *job) scoring() int {
+	n := 0
+	for i := range j.items {
+		if j.items[i].reward != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // endJob stops work on a batch that has ended. The caller holds the lock.
 func (k *Keeper) endJob(j *job) {
 	event.BatchWorkEnded.Log(k.deps.Logger, append(j.logFields(), zap.Duration("age", j.head.Age(time.Now())))...)
--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -25,6 +25,7 @@
 const (
 	routeHostname = "portal.example"
 	plainPath     = "/lookup/"
+	judgePath     = "/judge/"
 	batchPath     = "/rollout/"
 	streamPath    = "/talk/"
 	enginePool    = "lm-pool"
@@ -69,6 +70,7 @@
 			State    string `json:"state"`
 			Text     string `json:"text"`
 			Versions []int  `json:"versions"`
+			Score    string `json:"score"`
 		} `json:"results"`
 	}
 )
@@ -129,6 +131,10 @@
 				"name": "lookup", "hostname": routeHostname, "path_prefix": plainPath, "route_type": "idempotent",
 				"timeout_ms": 2000, "target_latency_ms": 150, "max_attempts": 2, "service": plainPool,
 			},
+			{
+				"name": "judge", "hostname": routeHostname, "path_prefix": judgePath, "route_type": "idempotent",
+				"timeout_ms": 3000, "target_latency_ms": 400, "max_attempts": 4, "service": plainPool,
+			},
 			{
 				"name": "once", "hostname": routeHostname, "path_prefix": "/once/", "route_type": "non_idempotent",
 				"timeout_ms": 2000, "target_latency_ms": 150, "max_attempts": 2, "service": plainPool,
@@ -333,17 +339,24 @@
 }
 
 // newBatchBody returns the body of a submission with the given number of groups, each
-// of three items.
+// of three items. The last item of each group has a reward call.
 func newBatchBody(id string, groups, minVersion int) []byte {
 	var items []map[string]any
 	for g := range groups {
 		for i := range 3 {
 			item := fmt.Sprintf("%s-%d-%d", id, g, i)
-			items = append(items, map[string]any{
+			fields := map[string]any{
 				"id": item, "path": batchPath + item, "group": fmt.Sprintf("g%d", g), "tokens": 20,
 				"headers": map[string]string{"Model": testModel, "Length-Hint": "5"},
 				"body":    base64.StdEncoding.EncodeToString([]byte("body of " + item)),
-			})
+			}
+			if isScored(item) {
+				fields["scorer"] = map[string]any{
+					"id": rewardID(item), "hostname": routeHostname, "path": judgePath + item,
+					"body": base64.StdEncoding.EncodeToString([]byte("score " + item)),
+				}
+			}
+			items = append(items, fields)
 		}
 	}
 	body, err := json.Marshal(map[string]any{
@@ -355,6 +368,11 @@
 	return body
 }
 
+// isScored reports whether an item of newBatchBody has a reward call.
+func isScored(item string) bool { return strings.HasSuffix(item, "-2") }
+
+func rewardID(item string) string { return item + "-reward" }
+
 // submit submits a batch to a host and returns the status.
 func (s *site) submit(h *host, id string, body []byte) int {
 	status, _ := s.send(http.MethodPost, h.callerAddress, batchPath+id, id, body)
@@ -402,7 +420,7 @@
 	defer h.mu.Unlock()
 	for i, got := range page.Results {
 		position := after + i
-		text := got.ID + "|" + got.State + "|" + got.Text
+		text := got.ID + "|" + got.State + "|" + got.Text + "|" + got.Score
 		if before, ok := h.byPosition[position]; ok && before != text {
 			t.Errorf("position %d has %q, was %q before", position, text, before)
 		}
@@ -413,6 +431,13 @@
 		if got.State == "completed" && got.Text != fake.Text(got.ID) {
 			t.Errorf("item %s: text %q, want %q", got.ID, got.Text, fake.Text(got.ID))
 		}
+		wantScore := ""
+		if got.State == "completed" && isScored(got.ID) {
+			wantScore = fake.Signature(rewardID(got.ID))
+		}
+		if got.Score != wantScore {
+			t.Errorf("item %s (%s): score %q, want %q", got.ID, got.State, got.Score, wantScore)
+		}
 		for _, version := range got.Versions {
 			if version < minVersion {
 				t.Errorf("item %s: version %d is older than %d", got.ID, version, minVersion)
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -46,6 +46,9 @@
 	// random so that a seed draws the same other faults with and without this
 	// one.
 	extraRandom *rand.Rand
+	// rewardRandom draws the faults of endpoints that answer reward calls, for the same
+	// reason.
+	rewardRandom *rand.Rand
 	// background counts restarts and crashing requests that are not finished.
 	background         sync.WaitGroup
 	mu                 sync.Mutex
@@ -105,8 +108,8 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		site: newSite(t, soakHosts, soakTimeout), random: rand.New(rand.NewPCG(seed, 0)),
-		extraRandom: rand.New(rand.NewPCG(seed, 1)),
-		restarting:  make(map[*host]bool),
+		extraRandom: rand.New(rand.NewPCG(seed, 1)), rewardRandom: rand.New(rand.NewPCG(seed, 2)),
+		restarting: make(map[*host]bool),
 	}
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
@@ -154,6 +157,7 @@
 			e.BreakAfter(1 + s.random.IntN(3))
 			time.AfterFunc(duration, func() { e.BreakAfter(0) })
 		}
+		s.disturbRewardCalls(duration)
 		if s.extraRandom.IntN(5) == 0 {
 			// The request crashes each endpoint that runs it; its answer is not checked.
 			path := []string{plainPath, "/once/", streamPath}[s.extraRandom.IntN(3)]
@@ -164,6 +168,22 @@
 	}
 }
 
+// disturbRewardCalls makes a plain endpoint lose answers, fail or answer late for the
+// given time.
+func (s *soak) disturbRewardCalls(duration time.Duration) {
+	e := s.plains[s.rewardRandom.IntN(len(s.plains))]
+	switch s.rewardRandom.IntN(6) {
+	case 0:
+		e.LoseAnswers(1 + s.rewardRandom.IntN(4))
+	case 1:
+		e.FailWith(http.StatusInternalServerError)
+		time.AfterFunc(duration, func() { e.FailWith(0) })
+	case 2:
+		e.DelayAnswers(duration)
+		time.AfterFunc(duration, func() { e.DelayAnswers(0) })
+	}
+}
+
 // restart ends a host's process and starts it again, unless a restart of this host
 // is already in progress.
 func (s *soak) restart(h *host, sig syscall.Signal) {
@@ -283,6 +303,10 @@
 	for _, e := range s.engines {
 		e.BreakAfter(0)
 	}
+	for _, e := range s.plains {
+		e.FailWith(0)
+		e.DelayAnswers(0)
+	}
 	for _, h := range s.hosts {
 		h.signal(syscall.SIGCONT)
 	}
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -43,6 +43,15 @@
 	prefixBytes     = 256
 )
 
+var (
+	// errNoScorer reports that the configuration has no scorer for the trainer.
+	errNoScorer = errors.New("the sample can't be scored")
+
+	// errTextOutdated reports that the trainer no longer accepts the versions that
+	// generated the text.
+	errTextOutdated = errors.New("the text is outdated")
+)
+
 type (
 	// Worker runs samples. It is safe for concurrent use.
 	Worker struct {
@@ -159,14 +168,11 @@
 		event.SampleRejected.Log(t.worker.logger, zap.String("sample", t.id()), zap.String("reason", reason))
 		return nil, true, errors.New(reason)
 	}
-	scorer, ok := current.Set().Scorer(trainer.Scorer())
-	if !ok {
-		return nil, false, fmt.Errorf("no scorer %s", trainer.Scorer())
-	}
-	score, err := t.worker.scoreClient.score(ctx, scorer, scoreRequest{ID: t.id(), Prompt: t.call.GetPrompt(), Text: text})
+	score, err := scoreUntilAnswered(ctx, func() (float64, error) { return t.score(ctx, text, result.Versions()) },
+		func() { _ = t.machine.Fire("score_failed") })
 	if err != nil {
 		_ = t.machine.Fire("reject")
-		return nil, true, err
+		return nil, !errors.Is(err, errNoScorer), err
 	}
 	_ = t.machine.Fire("score")
 	return &wirepb.SampleDone{
@@ -180,6 +186,23 @@
 	}, false, nil
 }
 
+// score requests the score of a text once, under the configuration in force.
+func (t *task) score(ctx context.Context, text string, versions []*wirepb.VersionRange) (float64, error) {
+	set := t.worker.config.Current().Set()
+	trainer, ok := set.Trainer(t.call.GetTrainer())
+	if !ok {
+		return 0, fmt.Errorf("%w: no trainer %s", errNoScorer, t.call.GetTrainer())
+	}
+	if reason := rejectionReason(trainer, versions); reason != "" {
+		return 0, fmt.Errorf("%w: %s", errTextOutdated, reason)
+	}
+	scorer, ok := set.Scorer(trainer.Scorer())
+	if !ok {
+		return 0, fmt.Errorf("%w: no scorer %s", errNoScorer, trainer.Scorer())
+	}
+	return t.worker.scoreClient.score(ctx, scorer, scoreRequest{ID: t.id(), Prompt: t.call.GetPrompt(), Text: text})
+}
+
 func (t *task) generate(ctx context.Context, trainer specs.Trainer) (string, route.Result, error) {
 	t.attempts++
 	deadline, ok := ctx.Deadline()
--- a/sample/score.go
+++ b/sample/score.go
@@ -4,19 +4,19 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 
-	"github.com/currantloft/currantloft/retry"
+	"github.com/currantloft/currantloft/grade"
 	"github.com/currantloft/currantloft/specs"
 	"github.com/currantloft/currantloft/waits"
 )
 
 const (
-	maxScoreAttempts = 4
-	maxScoreBytes    = 64 << 10
-	maxIdleConns     = 64
+	maxScoreBytes = 64 << 10
+	maxIdleConns  = 64
 )
 
 type (
@@ -41,23 +41,24 @@
 	return &scoreClient{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}}
 }
 
-// score requests the score of a sample. Scoring is idempotent, so failed requests
-// are retried.
-func (s *scoreClient) score(ctx context.Context, service specs.Scorer, request scoreRequest) (float64, error) {
-	var err error
-	for attempt := 1; attempt <= maxScoreAttempts; attempt++ {
-		var score float64
-		if score, err = s.scoreOnce(ctx, service, request); err == nil {
-			return score, nil
+// scoreUntilAnswered repeats a scoring request, which is idempotent, until it is
+// answered, ctx ends, or another answer is impossible: the text took an engine longer
+// to generate than the scorer takes to come back. It calls failed after each failure.
+func scoreUntilAnswered(ctx context.Context, request func() (float64, error), failed func()) (float64, error) {
+	for failures := 1; ; failures++ {
+		score, err := request()
+		if err == nil || errors.Is(err, errNoScorer) || errors.Is(err, errTextOutdated) {
+			return score, err
 		}
-		if waits.For(ctx, retry.Delay(attempt)) != nil {
+		failed()
+		if waits.For(ctx, grade.Backoff(failures)) != nil {
 			return 0, err
 		}
 	}
-	return 0, err
 }
 
-func (s *scoreClient) scoreOnce(ctx context.Context, service specs.Scorer, request scoreRequest) (float64, error) {
+// score requests the score of a sample once.
+func (s *scoreClient) score(ctx context.Context, service specs.Scorer, request scoreRequest) (float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, service.Timeout())
 	defer cancel()
 	body, err := json.Marshal(request)
