feat(roster): hubs pass messages on, so that calls don't grow with the square of the hosts

Each node sent a hello to every host that it had only read of, and each hello was answered with the whole list: 250 x 250 sessions at the start. Each death was announced to all by each of its watchers, checked by all and announced again by each of those. Each batch was announced to all at acceptance and end, by nodes that had no session with most of them. Each change of an endpoint's entry (some 30 a second) went from one node to 249. A node that missed an update for 3.2 s listed the store and sent the lists to all others.

Change: at most 12, or two for each unit of the square root of the number of hosts, are hubs; strong hosts first. Hubs say hello to hubs, six each 0.7 s as before. Every other host belongs to one hub by rendezvous hashing, says hello to it every 1.4 s and takes over its list. Deaths, planned stops, crashing requests and changes of the store go to the hubs and from each hub to its hosts; changes of the store at most every 0.4 s. Notices of batches go to hubs only; another host that is asked for a batch asks a hub. In a fleet of up to 12 hosts all are hubs and all goes as before. Deaths are announced only by the node whose own hellos found them. The digest of the hosts and the topology are kept until a host changes. Resolvers name the strong hosts and, by their own name, some of the others: all answers named the same 64 of 250 before.

TestLargeFleet: 44 hosts agree after the start, deaths and stops of a weak host and of a hub; a weak host gets up to three hellos in 3 s. TestTopologyGrowth, TestTopologyIsStable, TestMerge, TestNodeWithoutNotifications, TestAddressesReachAllHosts.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -37,6 +37,9 @@
 	// peerTimeout limits a call to the keeper. A read of results may take longer
 	// by the wait that the reader requested.
 	peerTimeout = 600 * time.Millisecond
+	// findTimeout limits asking another node for an unknown batch, before the store is
+	// asked.
+	findTimeout = 300 * time.Millisecond
 	// confirmTTL is how long the store's answer that there are no further results
 	// is trusted; a position that was read must be readable a second later.
 	confirmTTL = 400 * time.Millisecond
@@ -219,6 +222,8 @@
 			return page, nil
 		}
 		k.logPeerError(id, keeper, err)
+		// The next read goes to the present keeper if another node knows it.
+		k.findAtPeer(ctx, id)
 		wait = 0
 	}
 	page, err = k.readFromStore(ctx, head, after)
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -101,8 +101,11 @@
 		LastStatusChange() time.Time
 		// Incarnation returns a node's current incarnation.
 		Incarnation(name string) uint64
-		// Notify sends a notification to all other nodes.
+		// Notify sends a notification to all other nodes that may own batches.
 		Notify(notification Notification)
+		// Find asks another node for a batch that this one does not know. It returns
+		// false if that node does not know it either, or if none is to be asked.
+		Find(ctx context.Context, id string) (Notification, bool)
 		// Offer sends a batch to the node that is to own it.
 		Offer(ctx context.Context, name string, s Submission) error
 		// ReadAt reads results at the node that owns the batch, or returns ErrNotOwner.
@@ -262,6 +265,9 @@
 	if h != nil {
 		return head, keeper, nil
 	}
+	if head, keeper, ok := k.findAtPeer(ctx, id); ok {
+		return head, keeper, nil
+	}
 	record, err := object.GetImmutable(ctx, k.deps.Store, kindHeads, id)
 	if errors.Is(err, object.ErrNotFound) {
 		return Head{}, "", ErrUnknown
@@ -280,6 +286,35 @@
 	return h.head, k.keeperOf(h), nil
 }
 
+// findAtPeer asks another node for a batch and returns its head and the node that
+// should own it.
+func (k *Keeper) findAtPeer(ctx context.Context, id string) (head Head, keeper string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	found, ok := k.deps.Peers.Find(ctx, id)
+	if !ok {
+		return Head{}, "", false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	// What this node knew of the keeper may be out of date.
+	found.TakenOver = !found.HandedOver
+	k.applyLocked(found)
+	h := k.batches[id]
+	return h.head, k.keeperOf(h), true
+}
+
+// Find returns what this node knows of a batch.
+func (k *Keeper) Find(id string) (Notification, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := k.batches[id]
+	if h == nil {
+		return Notification{}, false
+	}
+	return Notification{Head: h.head, Ended: h.ended, HandedOver: h.handedOver}, true
+}
+
 // runPeriodically calls work at the given interval until the keeper closes.
 func (k *Keeper) runPeriodically(interval time.Duration, work func(context.Context)) {
 	k.tasks.Go(func() {
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -41,6 +41,8 @@
 	clusterPeers struct {
 		cluster *cluster
 		name    string
+		// outside marks a node that owns no batches and gets no notifications.
+		outside bool
 	}
 
 	// instantEngine answers every item with one event, unless the item is held.
@@ -79,7 +81,10 @@
 func (p clusterPeers) ActiveNames() []string {
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
-	names := []string{p.name}
+	var names []string
+	if !p.outside {
+		names = append(names, p.name)
+	}
 	for name := range p.cluster.keepers {
 		if name != p.name && !p.cluster.dead[name] {
 			names = append(names, name)
@@ -101,6 +106,13 @@
 	}
 }
 
+func (p clusterPeers) Find(_ context.Context, id string) (Notification, bool) {
+	if !p.outside {
+		return Notification{}, false
+	}
+	return p.cluster.at(p.Keepers()[0]).Find(id)
+}
+
 func (p clusterPeers) Offer(_ context.Context, name string, s Submission) error {
 	if !p.cluster.at(name).HoldOffer(s.ID, s.Host, s.Path, s.Raw) {
 		return ErrNotOwner
@@ -166,6 +178,16 @@
 
 // newKeeper adds a keeper to the cluster.
 func newKeeper(t *testing.T, c *cluster, store object.Store, engine Engine, name string) *Keeper {
+	t.Helper()
+	k := startKeeper(t, clusterPeers{cluster: c, name: name}, store, engine)
+	c.mu.Lock()
+	c.keepers[name] = k
+	c.mu.Unlock()
+	return k
+}
+
+// startKeeper starts the keeper of a node with the given view of its peers.
+func startKeeper(t *testing.T, p clusterPeers, store object.Store, engine Engine) *Keeper {
 	t.Helper()
 	f := fleet.New(time.Now)
 	for i := range 4 {
@@ -180,15 +202,12 @@
 		MaxAttempts: 2, TargetLatency: 200 * time.Millisecond, Timeout: testLimit,
 	}}, nil, routes.Limits{})
 	k := New(Deps{
-		Name: name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
+		Name: p.name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
 		EndpointExited: func(context.Context, fleet.Target) bool { return true },
 		Policy:         LongestFirst{},
-		Peers:          clusterPeers{c, name}, IsLeader: func() bool { return true }, Retention: time.Minute, Routes: func() *routes.Table { return table }, Decode: decodeTest,
+		Peers:          p, IsLeader: func() bool { return true }, Retention: time.Minute, Routes: func() *routes.Table { return table }, Decode: decodeTest,
 		Scope: tally.NoopScope, Logger: zap.NewNop(),
 	})
-	c.mu.Lock()
-	c.keepers[name] = k
-	c.mu.Unlock()
 	t.Cleanup(k.Close)
 	return k
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -115,8 +115,10 @@
 	}
 	e.roster = roster.New(self, e.store, e.pool, logger)
 	e.peers = &peerClient{Roster: e.roster, pool: e.pool, logger: logger}
+	e.peers.news = newChildNews(e.peers)
 	e.store.SetPeerFallback(e.peers.peerFallback)
 	e.roster.OnDead(e.peers.notifyLost)
+	e.roster.OnLeaving(e.peers.notifyLeaving)
 	e.suspects = newSuspects(e.peers, logger)
 	e.roster.SetQuarantine(e.suspects)
 	e.relay = relay.New(relay.Deps{
@@ -165,6 +167,7 @@
 	e.leave(servers)
 	stop()
 	err = group.Wait()
+	e.peers.news.Close()
 	e.keeper.Close()
 	e.pool.Close()
 	err = errors.Join(err, peerServer.Close())
@@ -274,13 +277,7 @@
 // Addresses returns the addresses that callers may connect to, and for how long
 // the answer may be cached.
 func (e *Edge) Addresses() ([]string, time.Duration) {
-	const limit = 64
-	var addresses []string
-	for _, h := range e.roster.ActiveHosts() {
-		if h.CallerAddress != "" && len(addresses) < limit {
-			addresses = append(addresses, h.CallerAddress)
-		}
-	}
+	addresses := chooseAddresses(e.roster.Self().Name, e.roster.ActiveHosts(), e.roster.Keepers())
 	return addresses, min(addressTTL, e.settings.Load().AddressLifetime())
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -40,6 +40,8 @@
 	*roster.Roster
 	pool   *peers.Pool
 	logger *zap.Logger
+	// news holds the changes that are to be passed on to this hub's children.
+	news *childNews
 }
 
 var _ batch.Peers = (*peerClient)(nil)
@@ -62,21 +64,55 @@
 	}
 }
 
-// Notify sends a notification to all peers.
+// Notify sends a notification to the hubs. Other hosts ask a hub for a batch.
 func (p *peerClient) Notify(notification batch.Notification) {
-	p.sendToPeers(&wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotification(notification)}})
+	p.send(p.Hubs(), &wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotification(notification)}})
 }
 
-// notifyLost notifies all peers of a host that does not answer.
+// Find asks a hub for a batch that this node does not know.
+func (p *peerClient) Find(ctx context.Context, id string) (batch.Notification, bool) {
+	name, ok := rendez.First(id, p.Keepers())
+	if !ok || p.IsHub() {
+		return batch.Notification{}, false
+	}
+	frame, err := p.callHost(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchFind{BatchFind: &wirepb.BatchFind{Id: id}}})
+	if err != nil {
+		event.BatchKeeperUnreachable.Log(p.logger, zap.String("batch", id), zap.String("keeper", name), zap.Error(err))
+		return batch.Notification{}, false
+	}
+	found := decodeNotification(frame.GetBatchNotice())
+	return found, found.Head.ID != ""
+}
+
+// notifyLost notifies the hubs, and the hosts that belong to this one, of a host that
+// does not answer.
 func (p *peerClient) notifyLost(h roster.Host) {
-	p.sendToPeers(&wirepb.Frame{Body: &wirepb.Frame_HostLost{HostLost: &wirepb.HostLost{Name: h.Name, Incarnation: h.Incarnation}}})
+	call := &wirepb.Frame{Body: &wirepb.Frame_HostLost{HostLost: &wirepb.HostLost{Name: h.Name, Incarnation: h.Incarnation}}}
+	p.send(p.Hubs(), call)
+	p.send(p.Children(), call)
 }
 
-// Broadcast sends changes that were read from the store to all peers.
+// notifyLeaving passes it on to the hosts that belong to this one that a host is
+// leaving. The leaving host itself notifies the hubs.
+func (p *peerClient) notifyLeaving(h roster.Host) {
+	p.send(p.Children(), &wirepb.Frame{Body: &wirepb.Frame_HostLost{HostLost: &wirepb.HostLost{
+		Name: h.Name, Incarnation: h.Incarnation, Leaving: true,
+	}}})
+}
+
+// Broadcast sends changes that were read from the store to all peers, to those that
+// are not hubs through the hubs. A host that is not a hub reads for itself only.
 func (p *peerClient) Broadcast(updates []mirror.Update) {
-	p.sendToPeers(&wirepb.Frame{Body: &wirepb.Frame_StoreNews{StoreNews: encodeUpdates(updates)}})
+	if !p.IsHub() {
+		return
+	}
+	p.send(p.Hubs(), &wirepb.Frame{Body: &wirepb.Frame_StoreNews{StoreNews: encodeUpdates(updates)}})
+	p.news.add(updates)
 }
 
+// passOn sends a message of a peer to the hosts that belong to this one.
+func (p *peerClient) passOn(call *wirepb.Frame) { p.send(p.Children(), call) }
+
 // Rank returns the node's position among those that may own batches, and how
 // many there are. A node that isn't one of them, or whose roster hasn't discovered
 // its peers yet, ranks last.
@@ -94,11 +130,11 @@
 	return len(names), max(1, len(names))
 }
 
-// sendToPeers sends a frame to all peers and retries a failed call once within
-// notifyTimeout. The returned group is done once each peer has answered or failed.
-func (p *peerClient) sendToPeers(call *wirepb.Frame) *sync.WaitGroup {
+// send sends a frame to the hosts and retries a failed call once within
+// notifyTimeout. The returned group is done once each host has answered or failed.
+func (p *peerClient) send(hosts []roster.Host, call *wirepb.Frame) *sync.WaitGroup {
 	var pending sync.WaitGroup
-	for _, h := range p.Peers() {
+	for _, h := range hosts {
 		pending.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 			defer cancel()
@@ -181,10 +217,10 @@
 	return p.pool.Do(ctx, h.PeerAddress, call)
 }
 
-// peerFallback makes a store call through a random peer. Status 0 means that it
+// peerFallback makes a store call through a random hub. Status 0 means that it
 // got no answer.
 func (p *peerClient) peerFallback(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
-	hosts := p.Peers()
+	hosts := p.Hubs()
 	if len(hosts) == 0 {
 		return 0, nil, nil
 	}
@@ -210,16 +246,26 @@
 	case *wirepb.Frame_Hello:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: e.roster.Serve(body.Hello)}}
 	case *wirepb.Frame_HostLost:
-		e.roster.CheckHost(ctx, body.HostLost.GetName(), body.HostLost.GetIncarnation())
+		lost := body.HostLost
+		if lost.GetLeaving() {
+			e.roster.RecordLeaving(lost.GetName(), lost.GetIncarnation())
+		} else if e.roster.CheckHost(ctx, lost.GetName(), lost.GetIncarnation()) {
+			e.peers.passOn(call)
+		}
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
 	case *wirepb.Frame_Suspects:
 		e.suspects.Merge(body.Suspects.GetList())
+		e.peers.passOn(call)
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Apply(decodeNotification(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
 	case *wirepb.Frame_StoreNews:
-		e.mirror.Apply(decodeUpdates(body.StoreNews))
+		updates := decodeUpdates(body.StoreNews)
+		e.mirror.Apply(updates)
+		if e.roster.IsHub() {
+			e.peers.news.add(updates)
+		}
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
 	case *wirepb.Frame_BatchRests:
 		owned := e.keeper.StoreBackup(decodePartials(body.BatchRests))
@@ -228,6 +274,10 @@
 		offer := body.BatchOffer
 		owned := e.keeper.HoldOffer(offer.GetId(), offer.GetHost(), offer.GetPath(), offer.GetRaw())
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{Kept: owned}}}
+	case *wirepb.Frame_BatchFind:
+		// An unknown batch has no ID.
+		found, _ := e.keeper.Find(body.BatchFind.GetId())
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotification(found)}}
 	case *wirepb.Frame_BatchRead:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: e.serveRead(ctx, body.BatchRead)}}
 	case *wirepb.Frame_BatchBody:
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -119,10 +119,13 @@
 	}
 }
 
-// notify notifies all peers and calls done once each has answered or failed.
+// notify notifies the hubs, which pass it on, and calls done once each has answered or
+// failed.
 func (s *suspects) notify(update poison.Suspect, done func()) {
 	list := encodeSuspects([]poison.Suspect{update})
-	pending := s.peers.sendToPeers(&wirepb.Frame{Body: &wirepb.Frame_Suspects{Suspects: &wirepb.Suspects{List: list}}})
+	call := &wirepb.Frame{Body: &wirepb.Frame_Suspects{Suspects: &wirepb.Suspects{List: list}}}
+	pending := s.peers.send(s.peers.Hubs(), call)
+	s.peers.passOn(call)
 	go func() {
 		pending.Wait()
 		done()
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,6 +120,34 @@
 	}
 )
 
+// Merge returns updates that hold the newest change of each object in both lists.
+func Merge(earlier, later []Update) []Update {
+	merged := append([]Update(nil), earlier...)
+	for _, update := range later {
+		i := slices.IndexFunc(merged, func(m Update) bool { return m.Kind == update.Kind })
+		if i < 0 {
+			merged = append(merged, update)
+			continue
+		}
+		m := merged[i]
+		changed := make(map[string]bool, len(update.Changes))
+		for _, change := range update.Changes {
+			changed[change.Entry.Name] = true
+		}
+		var changes []object.Change
+		for _, change := range m.Changes {
+			if !changed[change.Entry.Name] {
+				changes = append(changes, change)
+			}
+		}
+		merged[i] = Update{
+			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Unavailable: m.Unavailable || update.Unavailable,
+			Changes: append(changes, update.Changes...),
+		}
+	}
+	return merged
+}
+
 // New returns a mirror of the kinds. Bound is the time in which a change must
 // reach every node.
 func New(store object.Store, fleet Fleet, bound time.Duration, logger *zap.Logger, kinds ...Kind) *Mirror {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -244,3 +244,26 @@
 		t.Error("a kind that is not mirrored is listed")
 	}
 }
+
+// TestMerge checks that merged updates hold the newest change of each object, in an
+// order in which they can be applied.
+func TestMerge(t *testing.T) {
+	change := func(name string, revision uint64, removed bool) object.Change {
+		return object.Change{Entry: object.Entry{Name: name, Revision: revision}, Removed: removed}
+	}
+	earlier := []Update{{Kind: "a", Revision: 5, Unavailable: true, Changes: []object.Change{change("x", 4, false), change("y", 5, false)}}}
+	later := []Update{
+		{Kind: "a", Revision: 7, Changes: []object.Change{change("x", 7, true)}},
+		{Kind: "b", Revision: 6, Changes: []object.Change{change("z", 6, false)}},
+	}
+	want := []Update{
+		{Kind: "a", Revision: 7, Unavailable: true, Changes: []object.Change{change("y", 5, false), change("x", 7, true)}},
+		{Kind: "b", Revision: 6, Changes: []object.Change{change("z", 6, false)}},
+	}
+	if diff := cmp.Diff(want, Merge(earlier, later)); diff != "" {
+		t.Errorf("merged (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(later, Merge(nil, later)); diff != "" {
+		t.Errorf("merged with nothing (-want +got):\n%s", diff)
+	}
+}
--- a/roster/hello.go
+++ b/roster/hello.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"syscall"
@@ -15,9 +16,13 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/object"
+	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
+// errReportedDead is the cause of a death that another node has reported.
+var errReportedDead = errors.New("reported dead by another node")
+
 // helloLoop sends hellos and periodically lists the store's entries. A list
 // takes seconds while the store is unavailable, so it runs beside the hellos.
 func (r *Roster) helloLoop(ctx context.Context) {
@@ -46,8 +51,12 @@
 			listing = true
 			tasks.Go(func() { listDone <- r.list(ctx, freshness) })
 		}
-		r.hello(ctx, r.helloTargets())
-		timer.Reset(helloInterval)
+		r.hello(ctx, r.helloTargets(), true)
+		interval := childHelloInterval
+		if r.IsHub() {
+			interval = helloInterval
+		}
+		timer.Reset(time.Duration(float64(interval) * (1 - helloJitter + 2*helloJitter*rand.Float64())))
 	}
 }
 
@@ -56,6 +65,10 @@
 func (r *Roster) allHosts() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.allHostsLocked()
+}
+
+func (r *Roster) allHostsLocked() []Host {
 	hosts := make([]Host, 0, len(r.hosts))
 	for name, p := range r.hosts {
 		if p.dead && time.Since(p.lastHeard) > deadRetention {
@@ -68,39 +81,107 @@
 	return hosts
 }
 
-// helloTargets returns the hosts to send a hello to: the next helloFanout in order
-// of names, and those that are unconfirmed or dead or whose last hello failed.
+// helloTargets returns the hosts to send a hello to. A host that is not a hub sends
+// one to its parent. A hub sends them to the next helloFanout hubs in order of names,
+// to the hubs that are unconfirmed or dead or whose last hello failed, and to those of
+// its own hosts that are silent.
 func (r *Roster) helloTargets() []Host {
-	hosts := r.allHosts()
-	self := r.Self().Name
-	first := sort.Search(len(hosts), func(i int) bool { return hosts[i].Name > self })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, now := r.topology(), time.Now()
 	var targets []Host
+	if parent, ok := t.parents[r.self.Name]; ok {
+		if p := r.hosts[parent]; p != nil {
+			targets = append(targets, p.host)
+		}
+		return targets
+	}
+	hosts := r.allHostsLocked()
+	first := sort.Search(len(hosts), func(i int) bool { return hosts[i].Name > r.self.Name })
+	hubs := 0
 	for offset := range hosts {
 		h := hosts[(first+offset)%len(hosts)]
-		r.mu.Lock()
 		p := r.hosts[h.Name]
-		uncertain := p != nil && (!p.confirmed || p.dead || p.failures > 0)
-		r.mu.Unlock()
-		if offset < helloFanout || uncertain {
+		uncertain := !p.confirmed || p.dead || p.failures > 0
+		if r.watchesAsHub(t, h, p) {
+			if hubs < helloFanout || uncertain {
+				targets = append(targets, h)
+			}
+			if !p.dead {
+				hubs++
+			}
+		} else if r.watchesAsParent(t, h) && (uncertain || now.Sub(p.lastHeard) > childSilence) {
 			targets = append(targets, h)
 		}
 	}
 	return targets
 }
 
-// CheckHost checks a host that another node could not reach.
-func (r *Roster) CheckHost(ctx context.Context, name string, incarnation uint64) {
+// watchesAsHub reports whether hubs watch the host together: it is a hub, or it was
+// one before it died or began to leave. The caller holds the lock.
+func (r *Roster) watchesAsHub(t *topology, h Host, p *peer) bool {
+	if t.isHub[h.Name] {
+		return true
+	}
+	if !p.dead && !h.Leaving {
+		return false
+	}
+	return len(r.hosts) < minHubs || 2*h.Power >= r.self.Power && t.strong[r.self.Name]
+}
+
+// watchesAsParent reports whether the host belongs to this node, or did before it
+// died. The caller holds the lock.
+func (r *Roster) watchesAsParent(t *topology, h Host) bool {
+	if parent, ok := t.parents[h.Name]; ok {
+		return parent == r.self.Name
+	}
+	names := make([]string, 0, len(t.hubs))
+	for _, hub := range t.hubs {
+		names = append(names, hub.Name)
+	}
+	parent, _ := rendez.First(parentKey+h.Name, names)
+	return parent == r.self.Name
+}
+
+// CheckHost checks a host that another node could not reach, and reports whether it is
+// dead since then. Hubs check hubs for themselves; of other hosts the reporting node is
+// the parent.
+func (r *Roster) CheckHost(ctx context.Context, name string, incarnation uint64) bool {
 	h, ok := r.Host(name)
 	if !ok || h.Incarnation != incarnation || name == r.Self().Name {
-		return
+		return false
+	}
+	r.mu.Lock()
+	t := r.topology()
+	check := t.isHub[r.self.Name] && (t.isHub[name] || h.Leaving)
+	if !check {
+		r.declareDead(h.Name, errReportedDead)
+	}
+	r.mu.Unlock()
+	if !check {
+		return true
 	}
 	for range maxHelloFailures {
-		r.hello(ctx, []Host{h})
+		r.hello(ctx, []Host{h}, false)
 	}
+	return !r.Alive(name, incarnation)
 }
 
-// hello sends one hello to each of the hosts.
-func (r *Roster) hello(ctx context.Context, hosts []Host) {
+// RecordLeaving records that another host is leaving, as reported by a hub.
+func (r *Roster) RecordLeaving(name string, incarnation uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.hosts[name]
+	if p != nil && p.host.Incarnation == incarnation && !p.host.Leaving {
+		p.host.Leaving = true
+		r.invalidate()
+		event.HostLeaving.Log(r.logger, zap.String("host", name))
+	}
+}
+
+// hello sends one hello to each of the hosts. Announce says whether a death that it
+// finds is to be reported to the other nodes.
+func (r *Roster) hello(ctx context.Context, hosts []Host, announce bool) {
 	r.mu.Lock()
 	call := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: toHostInfo(r.self), Digest: r.digest()}}}
 	r.mu.Unlock()
@@ -108,7 +189,7 @@
 	group.SetLimit(maxConcurrentHellos)
 	for _, h := range hosts {
 		group.Go(func() error {
-			r.helloTo(ctx, h, call)
+			r.helloTo(ctx, h, call, announce)
 			return nil
 		})
 	}
@@ -117,49 +198,112 @@
 	}
 }
 
-func (r *Roster) helloTo(ctx context.Context, h Host, call *wirepb.Frame) {
+func (r *Roster) helloTo(ctx context.Context, h Host, call *wirepb.Frame, announce bool) {
 	limited, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	frame, err := r.pool.Do(limited, h.PeerAddress, call)
 	if err != nil {
-		if ctx.Err() == nil {
-			r.recordFailure(h, err)
+		if ctx.Err() == nil && r.recordFailure(h, err) && announce && r.onDead != nil {
+			go r.onDead(h)
 		}
 		return
 	}
 	reply := frame.GetHelloReply()
-	r.recordHello(reply.GetFrom())
+	if leaving, ok := r.recordHello(reply.GetFrom()); ok && r.onLeaving != nil {
+		r.onLeaving(leaving)
+	}
 	for _, info := range reply.GetHosts() {
 		r.recordReported(fromHostInfo(info))
 	}
+	if len(reply.GetHosts()) > 0 && reply.GetSettled() {
+		r.adoptList(reply)
+	}
 	if r.quarantine != nil {
 		r.quarantine.Merge(reply.GetRefused())
 	}
 }
 
+// adoptList takes over what another node's list says of the hosts that it knows
+// better: a parent's list of all hosts, and a hub's list of those that belong to it.
+func (r *Roster) adoptList(reply *wirepb.HelloReply) {
+	listed := make(map[string]uint64, len(reply.GetHosts()))
+	for _, info := range reply.GetHosts() {
+		listed[info.GetName()] = info.GetIncarnation()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	from := reply.GetFrom().GetName()
+	t := r.topology()
+	isParent := t.parents[r.self.Name] == from
+	if !isParent && !t.isHub[r.self.Name] {
+		return
+	}
+	names := make([]string, 0, len(t.hubs))
+	for _, hub := range t.hubs {
+		names = append(names, hub.Name)
+	}
+	for name, p := range r.hosts {
+		if name == from {
+			continue
+		}
+		if !isParent {
+			// Dead hosts have no parent in the topology.
+			parent := t.parents[name]
+			if p.dead {
+				parent, _ = rendez.First(parentKey+name, names)
+			}
+			if t.isHub[name] || parent != from {
+				continue
+			}
+		}
+		incarnation, ok := listed[name]
+		switch {
+		case ok && p.dead && p.host.Incarnation == incarnation:
+			p.dead, p.failures = false, 0
+			r.invalidate()
+		case !ok && !p.dead && !p.host.Leaving:
+			r.declareDead(name, errReportedDead)
+		}
+	}
+}
+
 // recordFailure counts a hello that failed and declares the host dead after
-// maxHelloFailures in a row, or at once if it refused the connection.
-func (r *Roster) recordFailure(h Host, err error) {
+// maxHelloFailures in a row, or at once if it refused the connection. It reports
+// whether the host is dead since this failure.
+func (r *Roster) recordFailure(h Host, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.hosts[h.Name]
 	if p == nil || p.host.Incarnation != h.Incarnation || p.dead {
-		return
+		return false
 	}
 	p.failures++
-	if p.failures >= maxHelloFailures || errors.Is(err, syscall.ECONNREFUSED) {
-		p.dead = true
+	if p.failures < maxHelloFailures && !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	r.declareDead(h.Name, err)
+	return true
+}
+
+// declareDead records that a host is dead. The caller holds the lock.
+func (r *Roster) declareDead(name string, cause error) {
+	p := r.hosts[name]
+	if p == nil || p.dead {
+		return
+	}
+	if r.topology().isHub[name] || p.host.Leaving {
 		r.statusChangedAt = time.Now()
-		event.HostDead.Log(r.logger, zap.String("host", h.Name), zap.Int("failures", p.failures), zap.Error(err))
-		if r.onDead != nil {
-			go r.onDead(h)
-		}
 	}
+	p.dead = true
+	r.invalidate()
+	event.HostDead.Log(r.logger, zap.String("host", name), zap.Int("failures", p.failures), zap.Error(cause))
 }
 
 // Serve answers a hello.
 func (r *Roster) Serve(hello *wirepb.Hello) *wirepb.HelloReply {
-	r.recordHello(hello.GetFrom())
+	if leaving, ok := r.recordHello(hello.GetFrom()); ok && r.onLeaving != nil {
+		r.onLeaving(leaving)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := &wirepb.HelloReply{From: toHostInfo(r.self)}
@@ -169,6 +313,7 @@
 	if r.digest() == hello.GetDigest() {
 		return reply
 	}
+	reply.Settled = !r.discoveredAt.IsZero() && time.Since(r.discoveredAt) > settleTime
 	for _, p := range r.hosts {
 		if !p.dead {
 			reply.Hosts = append(reply.Hosts, toHostInfo(p.host))
@@ -180,12 +325,16 @@
 // digest returns a hash of the hosts that are not dead, by which two nodes check
 // whether they have the same ones. The caller holds the lock.
 func (r *Roster) digest() uint64 {
+	if r.cachedDigest != 0 {
+		return r.cachedDigest
+	}
 	sum := hostDigest(r.self)
 	for _, p := range r.hosts {
 		if !p.dead {
 			sum ^= hostDigest(p.host)
 		}
 	}
+	r.cachedDigest = sum
 	return sum
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -8,6 +8,11 @@
 // stays up to date during an outage of the store. The roster is eventually
 // consistent: decisions that must be made only once are made by the store.
 //
+// Some hosts are hubs, all of them in a small fleet. Hubs send hellos to other hubs
+// and check each other's reports. Every other host belongs to one hub, its parent: it
+// sends hellos only to its parent and takes over the parent's list, and its parent
+// reports its death.
+//
 // # Usage
 //
 //	r := roster.New(self, store, pool, logger)
@@ -20,7 +25,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sort"
 	"sync"
 	"time"
 
@@ -39,10 +43,21 @@
 	kindHosts = "hosts"
 	// helloInterval is the pause between two hellos to a host.
 	helloInterval = 700 * time.Millisecond
-	// helloFanout is how many hosts each node sends hellos to: the next ones in
-	// order of names. A node that finds a host dead notifies all its peers, which
-	// then check for themselves, so the hellos of a node don't grow with the fleet.
+	// helloFanout is how many hubs each hub sends hellos to: the next ones in order of
+	// names. A hub that finds a host dead notifies the other hubs, which then check for
+	// themselves, so the hellos of a node don't grow with the fleet.
 	helloFanout = 6
+	// childHelloInterval is the pause between two hellos of a host to its parent.
+	childHelloInterval = 1400 * time.Millisecond
+	// childSilence is how long a hub waits for a hello of a host that belongs to it
+	// before it sends one itself.
+	childSilence = 2*childHelloInterval + helloTimeout
+	// helloJitter is the share by which the pauses between hellos vary, so that hosts
+	// that started together don't stay in step.
+	helloJitter = 0.1
+	// settleTime is how long a node runs until its list of hosts may replace those of
+	// other nodes.
+	settleTime = 3 * time.Second
 	// helloTimeout bounds one hello. An answer takes two milliseconds, and a lost
 	// packet is retransmitted after 200.
 	helloTimeout = 600 * time.Millisecond
@@ -97,6 +112,7 @@
 		pool       *peers.Pool
 		logger     *zap.Logger
 		onDead     func(Host)
+		onLeaving  func(Host)
 		quarantine Quarantine
 
 		mu   sync.Mutex
@@ -107,6 +123,10 @@
 		// statusChangedAt is when a host was last found dead or alive again.
 		statusChangedAt time.Time
 		hosts           map[string]*peer
+		// cachedTopology and cachedDigest are derived from the hosts; nil and 0 if they
+		// have changed since.
+		cachedTopology *topology
+		cachedDigest   uint64
 	}
 
 	peer struct {
@@ -125,10 +145,14 @@
 	return &Roster{store: store, pool: pool, logger: logger, self: self, hosts: make(map[string]*peer)}
 }
 
-// OnDead sets a function that is called when a host is found dead. It must be
-// called before Run.
+// OnDead sets a function that is called when this node's own hellos find a host dead.
+// It must be called before Run.
 func (r *Roster) OnDead(call func(Host)) { r.onDead = call }
 
+// OnLeaving sets a function that is called when a host says that it is leaving. It
+// must be called before Run and Serve.
+func (r *Roster) OnLeaving(call func(Host)) { r.onLeaving = call }
+
 // SetQuarantine sets the quarantine whose requests the answers to hellos carry. It
 // must be called before Run and Serve.
 func (r *Roster) SetQuarantine(quarantine Quarantine) { r.quarantine = quarantine }
@@ -154,12 +178,14 @@
 	return r.self
 }
 
-// Leave notifies all peers that this node is leaving.
+// Leave notifies the hubs that this node is leaving. They pass it on to the other
+// hosts.
 func (r *Roster) Leave(ctx context.Context) {
 	r.mu.Lock()
 	r.self.Leaving = true
+	r.invalidate()
 	r.mu.Unlock()
-	r.hello(ctx, r.allHosts())
+	r.hello(ctx, r.Hubs(), true)
 }
 
 // Alive reports whether this incarnation of the host runs, leaving or not.
@@ -200,14 +226,7 @@
 func (r *Roster) Peers() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var hosts []Host
-	for _, p := range r.hosts {
-		if !p.dead {
-			hosts = append(hosts, p.host)
-		}
-	}
-	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
-	return hosts
+	return r.selectHosts(func(Host) bool { return true })
 }
 
 // ActiveNames returns the names of the hosts that run and are not leaving.
@@ -235,18 +254,15 @@
 }
 
 // Keepers returns the names of the hosts that take on the costly roles, such as
-// owning batches (being their keeper) and listing the store for their peers: those
-// that are not leaving and have at least half the processor capacity of the
-// largest.
+// owning batches (being their keeper) and listing the store for their peers: the
+// hubs that have at least half the processor capacity of the largest host.
 func (r *Roster) Keepers() []string {
-	hosts := r.ActiveHosts()
-	largest := uint32(0)
-	for _, h := range hosts {
-		largest = max(largest, h.Power)
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.topology()
 	var names []string
-	for _, h := range hosts {
-		if 2*h.Power >= largest {
+	for _, h := range t.hubs {
+		if t.strong[h.Name] {
 			names = append(names, h.Name)
 		}
 	}
@@ -321,6 +337,7 @@
 		return
 	}
 	p := r.hosts[h.Name]
+	r.invalidate()
 	switch {
 	case p == nil || p.host.Incarnation < h.Incarnation:
 		r.hosts[h.Name] = &peer{host: h, lastHeard: time.Now()}
@@ -336,20 +353,22 @@
 	}
 }
 
-// recordHello records a hello, or the answer to one, from the host itself.
-func (r *Roster) recordHello(info *wirepb.HostInfo) {
+// recordHello records a hello, or the answer to one, from the host itself. It returns
+// the host if it has begun to leave.
+func (r *Roster) recordHello(info *wirepb.HostInfo) (leaving Host, ok bool) {
 	if info.GetName() == "" {
-		return
+		return Host{}, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if info.GetName() == r.self.Name {
-		return
+		return Host{}, false
 	}
 	h := fromHostInfo(info)
 	p := r.hosts[h.Name]
-	if p != nil && p.dead {
-		r.statusChangedAt = time.Now()
+	if p != nil && !p.dead && p.host == h {
+		p.confirmed, p.failures, p.lastHeard = true, 0, time.Now()
+		return Host{}, false
 	}
 	// An incarnation that is leaving never stops leaving: a hello without the mark
 	// was sent earlier and arrived late.
@@ -357,8 +376,14 @@
 	if p == nil || p.host.Incarnation != h.Incarnation || p.dead {
 		event.HostJoined.Log(r.logger, zap.String("host", h.Name), zap.Uint64("incarnation", h.Incarnation))
 	}
-	if h.Leaving && (p == nil || !p.host.Leaving) {
+	leaves := h.Leaving && (p == nil || !p.host.Leaving)
+	if leaves {
 		event.HostLeaving.Log(r.logger, zap.String("host", h.Name))
 	}
+	r.invalidate()
 	r.hosts[h.Name] = &peer{host: h, lastHeard: time.Now(), confirmed: true}
+	if p != nil && p.dead && r.topology().isHub[h.Name] {
+		r.statusChangedAt = time.Now()
+	}
+	return h, leaves
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -27,6 +27,8 @@
 	pool   *peers.Pool
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	// hellos counts the hellos that the node has received.
+	hellos atomic.Int64
 }
 
 func startNode(t *testing.T, store object.Store, name string, incarnation uint64) *testNode {
