fix(mirror): a node notices that it has missed an update, and lists

Cause: an update holds only the changes since the last one. A node that missed one and got the next in time (3.2 s) never learned of the missed change until the object changed again.

Change: an update says which change came before it. A node whose copy does not reach that far waits 0.3 s for the missing one, since updates overtake each other, and lists.

Measured: TestMissedUpdateIsListed fails without it (the object is missing after the bound), TestOvertakingUpdates.

fix(roster): hosts that start together are not announced as dead. A host that is not a hub says hello itself; its death goes to the hubs, and on by their lists.

fix(relay): any answer clears the crashes of a request, also those recorded after the attempt was sent.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -84,12 +84,16 @@
 	return found, found.Head.ID != ""
 }
 
-// notifyLost notifies the hubs, and the hosts that belong to this one, of a host that
-// does not answer.
+// notifyLost notifies the hubs of a host that does not answer, and the hosts that
+// belong to this one if it may own batches. Of another host they learn by their next
+// hello: when hundreds of hosts start again at the same time, many seem dead for a
+// moment.
 func (p *peerClient) notifyLost(h roster.Host) {
 	call := &wirepb.Frame{Body: &wirepb.Frame_HostLost{HostLost: &wirepb.HostLost{Name: h.Name, Incarnation: h.Incarnation}}}
 	p.send(p.Hubs(), call)
-	p.send(p.Children(), call)
+	if p.WasHub(h) {
+		p.passOn(call)
+	}
 }
 
 // notifyLeaving passes it on to the hosts that belong to this one that a host is
@@ -247,9 +251,10 @@
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: e.roster.Serve(body.Hello)}}
 	case *wirepb.Frame_HostLost:
 		lost := body.HostLost
+		h, _ := e.roster.Host(lost.GetName())
 		if lost.GetLeaving() {
 			e.roster.RecordLeaving(lost.GetName(), lost.GetIncarnation())
-		} else if e.roster.CheckHost(ctx, lost.GetName(), lost.GetIncarnation()) {
+		} else if e.roster.CheckHost(ctx, lost.GetName(), lost.GetIncarnation()) && e.roster.WasHub(h) {
 			e.peers.passOn(call)
 		}
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -6,7 +6,8 @@
 // there are none, which confirms that their copy is current. A node that
 // receives no update in time lists for itself and sends the changes to its peers.
 // So the calls to the store don't grow with the fleet, and a node that the store
-// rejects stays up to date.
+// rejects stays up to date. Each update says which change came before it, so that a
+// node which has missed one lists for itself.
 //
 // # Usage
 //
@@ -55,6 +56,9 @@
 	retryPause = 200 * time.Millisecond
 	// maxRetryPause bounds the pause between two failed lists.
 	maxRetryPause = time.Second
+	// gapGrace is how long a node that seems to have missed an update waits for it
+	// before it lists for itself: updates may overtake each other.
+	gapGrace = 300 * time.Millisecond
 	// unavailableAfter is how long a copy may be out of date before the store counts
 	// as having been unavailable.
 	unavailableAfter = 2500 * time.Millisecond
@@ -77,6 +81,8 @@
 		Kind string
 		// Revision is the store's revision up to which the changes are complete.
 		Revision uint64
+		// Previous is the revision of the last change before these.
+		Previous uint64
 		// Unavailable is true if the store was unavailable shortly before.
 		Unavailable bool
 		Changes     []object.Change
@@ -103,14 +109,21 @@
 		kinds     map[string]*kindCopy
 		kindOrder []string
 		received  chan struct{}
+		// gapped signals that this node may have missed an update.
+		gapped chan struct{}
 		// freshAt is when the copy was last known to be up to date.
 		freshAt time.Time
 	}
 
 	// kindCopy is the copy of one kind.
 	kindCopy struct {
-		kind     Kind
-		revision uint64
+		kind Kind
+		// revision is the revision up to which the copy is complete, and changedAt that
+		// of the newest change in it.
+		revision, changedAt uint64
+		// Changes after aheadFrom up to aheadTo have arrived, but those between revision
+		// and aheadFrom have not. AheadTo is 0 if none are missing.
+		aheadFrom, aheadTo uint64
 		// revisions holds the revision of each object, removals that of each removed
 		// one.
 		revisions map[string]uint64
@@ -141,7 +154,7 @@
 			}
 		}
 		merged[i] = Update{
-			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Unavailable: m.Unavailable || update.Unavailable,
+			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Previous: min(m.Previous, update.Previous), Unavailable: m.Unavailable || update.Unavailable,
 			Changes: append(changes, update.Changes...),
 		}
 	}
@@ -153,6 +166,7 @@
 func New(store object.Store, fleet Fleet, bound time.Duration, logger *zap.Logger, kinds ...Kind) *Mirror {
 	m := &Mirror{
 		store: store, fleet: fleet, bound: bound, logger: logger, kinds: make(map[string]*kindCopy), received: make(chan struct{}, 1),
+		gapped: make(chan struct{}, 1),
 	}
 	for _, kind := range kinds {
 		m.kinds[kind.Name] = &kindCopy{kind: kind, revisions: make(map[string]uint64), removals: make(map[string]uint64)}
@@ -187,7 +201,7 @@
 func (m *Mirror) listLoop(ctx context.Context) {
 	failures, listed := 0, false
 	for ctx.Err() == nil {
-		if m.listKinds(ctx) {
+		if m.listKinds(ctx, true) {
 			failures, listed = 0, true
 		} else {
 			failures++
@@ -204,6 +218,9 @@
 			case <-ctx.Done():
 			case <-m.received:
 				gotUpdate, failures = true, 0
+			case <-m.gapped:
+				gotUpdate = true
+				m.fillGap(ctx)
 			case <-timer.C:
 			}
 			timer.Stop()
@@ -216,39 +233,74 @@
 	}
 }
 
-// listKinds lists all kinds that are due, applies the changes and sends them to
-// the peers. It reports whether all lists succeeded.
-func (m *Mirror) listKinds(ctx context.Context) bool {
+// fillGap lists for this node alone, unless the missing update arrives meanwhile.
+func (m *Mirror) fillGap(ctx context.Context) {
+	if waits.For(ctx, gapGrace) != nil {
+		return
+	}
+	m.mu.Lock()
+	var missing []string
+	for _, kind := range m.kindOrder {
+		if m.kinds[kind].aheadTo > 0 {
+			missing = append(missing, kind)
+		}
+	}
+	m.mu.Unlock()
+	if len(missing) == 0 {
+		return
+	}
+	event.UpdateMissed.Log(m.logger, zap.Strings("kinds", missing))
+	m.listKinds(ctx, false)
+}
+
+// listKinds lists all kinds that are due, applies the changes and, if wanted, sends
+// them to the peers. It reports whether all lists succeeded. The first lists may be
+// out of date: the first update tells whether something is missing.
+func (m *Mirror) listKinds(ctx context.Context, broadcast bool) bool {
 	unavailable := m.unavailable()
 	updates := make([]Update, 0, len(m.kindOrder))
 	m.listCount++
 	for _, kind := range m.kindOrder {
-		if m.kinds[kind].kind.Rare && m.kinds[kind].revision > 0 && m.listCount%rareListStride != 0 {
+		due, freshness := m.listDue(kind)
+		if !due {
 			continue
 		}
-		entries, revision, err := m.store.List(ctx, kind, object.Fresh)
+		entries, revision, err := m.store.List(ctx, kind, freshness)
 		if err != nil {
 			if ctx.Err() == nil {
 				event.WatchFailed.Log(m.logger, zap.String("kind", kind), zap.Error(err))
 			}
 			return false
 		}
-		changes := m.applyList(kind, entries, revision, unavailable)
-		updates = append(updates, Update{Kind: kind, Revision: revision, Unavailable: unavailable, Changes: changes})
+		updates = append(updates, m.applyList(kind, entries, revision, unavailable))
+	}
+	if broadcast {
+		m.fleet.Broadcast(updates)
 	}
-	m.fleet.Broadcast(updates)
 	return true
 }
 
+// listDue reports whether a kind is to be listed in this round, and how fresh the list
+// must be.
+func (m *Mirror) listDue(kind string) (bool, object.Freshness) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[kind]
+	if !c.listed {
+		return true, object.Stale
+	}
+	return !c.kind.Rare || c.aheadTo > 0 || m.listCount%rareListStride == 0, object.Fresh
+}
+
 func (m *Mirror) unavailable() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return !m.freshAt.IsZero() && time.Since(m.freshAt) > unavailableAfter
 }
 
-// applyList applies the differences between a list and the copy, and returns
-// them.
-func (m *Mirror) applyList(kind string, entries []object.Entry, upTo uint64, unavailable bool) []object.Change {
+// applyList applies the differences between a list and the copy, and returns them as
+// an update.
+func (m *Mirror) applyList(kind string, entries []object.Entry, upTo uint64, unavailable bool) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.kinds[kind]
@@ -264,9 +316,34 @@
 		}
 	}
 	m.freshAt = time.Now()
-	applied := c.apply(changes, upTo, unavailable)
+	previous := c.changedAt
+	applied := c.apply(changes, unavailable)
+	c.complete(upTo)
 	c.listed = true
-	return applied
+	return Update{Kind: kind, Revision: upTo, Previous: previous, Unavailable: unavailable, Changes: applied}
+}
+
+// complete records that the copy is complete up to a revision.
+func (c *kindCopy) complete(upTo uint64) {
+	c.revision = max(c.revision, upTo)
+	if c.revision >= c.aheadFrom {
+		c.revision = max(c.revision, c.aheadTo)
+		c.aheadFrom, c.aheadTo = 0, 0
+	}
+}
+
+// receive records an update that follows a change which may be missing here. It
+// reports whether something is missing.
+func (c *kindCopy) receive(update Update) bool {
+	if update.Previous <= c.revision {
+		c.complete(update.Revision)
+		return false
+	}
+	if c.aheadTo == 0 || update.Previous > c.aheadTo {
+		c.aheadFrom = update.Previous
+	}
+	c.aheadTo = max(c.aheadTo, update.Revision)
+	return true
 }
 
 // Listed reports whether the copy of a kind has been complete once. Before that it
@@ -279,7 +356,7 @@
 }
 
 // apply applies the changes that are newer than the copy, and returns them.
-func (c *kindCopy) apply(changes []object.Change, upTo uint64, unavailable bool) []object.Change {
+func (c *kindCopy) apply(changes []object.Change, unavailable bool) []object.Change {
 	var applied []object.Change
 	for _, change := range changes {
 		name, revision := change.Entry.Name, change.Entry.Revision
@@ -295,23 +372,33 @@
 		}
 		c.kind.Apply(change, unavailable)
 		applied = append(applied, change)
+		c.changedAt = max(c.changedAt, revision)
 	}
-	c.revision = max(c.revision, upTo)
 	return applied
 }
 
 // Apply applies the changes that another node sent.
 func (m *Mirror) Apply(updates []Update) {
 	m.mu.Lock()
+	missing := false
 	for _, update := range updates {
 		if c := m.kinds[update.Kind]; c != nil {
-			c.apply(update.Changes, update.Revision, update.Unavailable)
+			c.apply(update.Changes, update.Unavailable)
+			missing = c.receive(update) && c.listed || missing
 		}
 	}
 	m.freshAt = time.Now()
 	m.mu.Unlock()
+	signal(m.received)
+	if missing {
+		signal(m.gapped)
+	}
+}
+
+// signal wakes the receiver of a channel that holds one signal.
+func signal(channel chan struct{}) {
 	select {
-	case m.received <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -345,10 +432,13 @@
 		}
 		revision = next
 		m.mu.Lock()
-		applied := m.kinds[kind].apply(changes, next, false)
+		c := m.kinds[kind]
+		previous := c.changedAt
+		applied := c.apply(changes, false)
+		c.complete(next)
 		m.mu.Unlock()
 		if len(applied) > 0 {
-			m.fleet.Broadcast([]Update{{Kind: kind, Revision: next, Changes: applied}})
+			m.fleet.Broadcast([]Update{{Kind: kind, Revision: next, Previous: previous, Changes: applied}})
 		}
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -20,6 +20,8 @@
 	mu          sync.Mutex
 	mirrors     []*Mirror
 	partitioned map[int]bool
+	// drop is the number of broadcasts that each mirror misses next.
+	drop map[int]int
 }
 
 // fleetPeer is one mirror's access to its peers.
@@ -34,6 +36,10 @@
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	for i, m := range p.fleet.mirrors {
+		if p.fleet.drop[i] > 0 {
+			p.fleet.drop[i]--
+			continue
+		}
 		if i != p.rank && !p.fleet.partitioned[i] && !p.fleet.partitioned[p.rank] {
 			m.Apply(updates)
 		}
@@ -237,7 +243,7 @@
 	if m.Listed(kind) {
 		t.Error("listed after an update of a peer")
 	}
-	if !m.listKinds(t.Context()) || !m.Listed(kind) {
+	if !m.listKinds(t.Context(), true) || !m.Listed(kind) {
 		t.Error("not listed after a list")
 	}
 	if m.Listed("other") {
@@ -267,3 +273,67 @@
 		t.Errorf("merged with nothing (-want +got):\n%s", diff)
 	}
 }
+
+// update returns an update of one changed object.
+func update(name string, previous, revision uint64) []Update {
+	return []Update{{Kind: kind, Previous: previous, Revision: revision, Changes: []object.Change{
+		{Entry: object.Entry{Name: name, Revision: revision, Spec: []byte(name)}},
+	}}}
+}
+
+// TestMissedUpdateIsListed drops an update to a node that gets the next ones in time: it
+// must notice that a change is missing and list, within the time that a change may take
+// to reach all nodes. Each update alone holds only the changes since the last.
+func TestMissedUpdateIsListed(t *testing.T) {
+	const bound = 2 * time.Second
+	store := memory.New()
+	put(t, store, "first", "1")
+	fleet := &testFleet{drop: make(map[int]int)}
+	recorders := []*recorder{newRecorder(), newRecorder()}
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	for i, r := range recorders {
+		m := New(store, fleetPeer{fleet: fleet, rank: i}, bound, zap.NewNop(), Kind{Name: kind, Apply: r.apply})
+		fleet.mu.Lock()
+		fleet.mirrors = append(fleet.mirrors, m)
+		fleet.mu.Unlock()
+		tasks.Go(func() { _ = m.Run(ctx) })
+	}
+	defer tasks.Wait()
+	defer cancel()
+	for _, r := range recorders {
+		r.await(t, map[string]string{"first": "1"}, bound)
+	}
+	fleet.mu.Lock()
+	fleet.drop[1] = 1
+	fleet.mu.Unlock()
+	put(t, store, "missed", "2")
+	recorders[0].await(t, map[string]string{"first": "1", "missed": "2"}, bound)
+	recorders[1].await(t, map[string]string{"first": "1", "missed": "2"}, bound)
+}
+
+// TestOvertakingUpdates checks when a copy counts as incomplete.
+func TestOvertakingUpdates(t *testing.T) {
+	for name, tc := range map[string]struct {
+		updates [][]Update
+		missing bool
+	}{
+		"in order":                    {[][]Update{update("a", 5, 7), update("b", 7, 9)}, false},
+		"overtaken":                   {[][]Update{update("b", 7, 9), update("a", 5, 7)}, false},
+		"two overtake one":            {[][]Update{update("b", 7, 9), update("c", 9, 11), update("a", 5, 7)}, false},
+		"one is missing":              {[][]Update{update("b", 7, 9)}, true},
+		"the first of two is missing": {[][]Update{update("b", 7, 9), update("c", 9, 11)}, true},
+		"nothing has changed":         {[][]Update{{{Kind: kind, Previous: 5, Revision: 40}}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := New(memory.New(), fleetPeer{fleet: &testFleet{}, rank: 1}, time.Second, zap.NewNop(), Kind{Name: kind, Apply: func(object.Change, bool) {}})
+			m.applyList(kind, []object.Entry{{Name: "z", Revision: 5}}, 5, false)
+			for _, u := range tc.updates {
+				m.Apply(u)
+			}
+			if got := m.kinds[kind].aheadTo > 0; got != tc.missing {
+				t.Errorf("missing: %t, want %t", got, tc.missing)
+			}
+		})
+	}
+}
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -83,3 +83,21 @@
 		})
 	}
 }
+
+// TestAnswerClearsLaterCrashes checks that an answer clears a crash that was recorded
+// while the request was at work elsewhere: endpoints that crash at the same time by
+// another request must not make an innocent one a suspect.
+func TestAnswerClearsLaterCrashes(t *testing.T) {
+	suspects := newCrashOnDisconnect()
+	outcome, _ := serveSuspects(t.Context(), suspects, routes.Idempotent, func(ctx context.Context) Reply {
+		// Another request with the same content is lost meanwhile.
+		suspects.Disconnected(ctx, fleet.Target{}, Request{}, 0)
+		return answer(200, "ok")(ctx)
+	})
+	if _, ok := outcome.(Answered); !ok {
+		t.Fatalf("ended as %T", outcome)
+	}
+	if n := suspects.Crashes(Request{}); n != 0 {
+		t.Errorf("%d crashes on record after an answer, want 0", n)
+	}
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -272,7 +272,7 @@
 		if answer.Body != nil {
 			answer.Body = &observedStream{ReadCloser: answer.Body, onEnd: func(bytes int, err error) {
 				if errors.Is(err, io.EOF) {
-					active.clearCrashes(request, crashes)
+					active.clearCrashes(request)
 				} else if bytes == 0 {
 					if notified := active.reportDisconnect(ctx, target, request, crashes); notified != nil {
 						<-notified
@@ -281,7 +281,7 @@
 			}}
 			reply = answer
 		} else if answer.Signed {
-			active.clearCrashes(request, crashes)
+			active.clearCrashes(request)
 		}
 	}
 	active.results <- attemptResult{number: number, target: target, reply: reply, body: body, notified: notified}
@@ -296,9 +296,11 @@
 	return active.suspects.Disconnected(ctx, target, request, crashes)
 }
 
-// clearCrashes clears the recorded crashes of a request that was answered.
-func (active *activeRequest) clearCrashes(request Request, crashes int) {
-	if crashes > 0 {
+// clearCrashes clears the recorded crashes of a request that was answered, also those
+// recorded since the attempt was sent: a request that crashes endpoints gets no answer
+// from any of them.
+func (active *activeRequest) clearCrashes(request Request) {
+	if active.suspects.Crashes(request) > 0 {
 		active.suspects.Answered(request)
 	}
 }
--- a/roster/hello.go
+++ b/roster/hello.go
@@ -84,7 +84,7 @@
 // helloTargets returns the hosts to send a hello to. A host that is not a hub sends
 // one to its parent. A hub sends them to the next helloFanout hubs in order of names,
 // to the hubs that are unconfirmed or dead or whose last hello failed, and to those of
-// its own hosts that are silent.
+// its own hosts that are silent. A host that starts, or comes back, says hello itself.
 func (r *Roster) helloTargets() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -110,37 +110,17 @@
 			if !p.dead {
 				hubs++
 			}
-		} else if r.watchesAsParent(t, h) && (uncertain || now.Sub(p.lastHeard) > childSilence) {
+		} else if t.parents[h.Name] == r.self.Name && (p.failures > 0 || now.Sub(p.lastHeard) > childSilence) {
 			targets = append(targets, h)
 		}
 	}
 	return targets
 }
 
-// watchesAsHub reports whether hubs watch the host together: it is a hub, or it was
-// one before it died or began to leave. The caller holds the lock.
+// watchesAsHub reports whether hubs watch the host together: it is a hub, or could be
+// one if it were not dead or leaving. The caller holds the lock.
 func (r *Roster) watchesAsHub(t *topology, h Host, p *peer) bool {
-	if t.isHub[h.Name] {
-		return true
-	}
-	if !p.dead && !h.Leaving {
-		return false
-	}
-	return len(r.hosts) < minHubs || 2*h.Power >= r.self.Power && t.strong[r.self.Name]
-}
-
-// watchesAsParent reports whether the host belongs to this node, or did before it
-// died. The caller holds the lock.
-func (r *Roster) watchesAsParent(t *topology, h Host) bool {
-	if parent, ok := t.parents[h.Name]; ok {
-		return parent == r.self.Name
-	}
-	names := make([]string, 0, len(t.hubs))
-	for _, hub := range t.hubs {
-		names = append(names, hub.Name)
-	}
-	parent, _ := rendez.First(parentKey+h.Name, names)
-	return parent == r.self.Name
+	return t.isHub[h.Name] || (p.dead || h.Leaving) && t.couldBeHub(h)
 }
 
 // CheckHost checks a host that another node could not reach, and reports whether it is
@@ -261,7 +241,8 @@
 		case ok && p.dead && p.host.Incarnation == incarnation:
 			p.dead, p.failures = false, 0
 			r.invalidate()
-		case !ok && !p.dead && !p.host.Leaving:
+		case !ok && !p.dead && !p.host.Leaving && time.Since(p.lastHeard) > settleTime:
+			// The other node learns of a new host some hellos later than this one.
 			r.declareDead(name, errReportedDead)
 		}
 	}
--- a/roster/topology.go
+++ b/roster/topology.go
@@ -101,6 +101,18 @@
 	return hubs
 }
 
+// couldBeHub reports whether a host that is not active is as strong as the hubs.
+func (t *topology) couldBeHub(h Host) bool {
+	if len(t.parents) == 0 {
+		return true
+	}
+	weakest := uint32(math.MaxUint32)
+	for _, hub := range t.hubs {
+		weakest = min(weakest, hub.Power)
+	}
+	return h.Power >= weakest
+}
+
 // topology returns the current topology. The caller holds the lock.
 func (r *Roster) topology() *topology {
 	if r.cachedTopology == nil {
@@ -129,6 +141,15 @@
 	return r.topology().isHub[r.self.Name]
 }
 
+// WasHub reports whether a host is a hub, or would be one if it were alive and did not
+// leave. Only such a host may own batches.
+func (r *Roster) WasHub(h Host) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.topology()
+	return t.isHub[h.Name] || t.parents[h.Name] == "" && t.couldBeHub(h)
+}
+
 // Hubs returns the peers that get messages to the fleet directly: the hubs, and hosts
 // that are leaving, which may still own batches.
 func (r *Roster) Hubs() []Host {
--- a/roster/topology_test.go
+++ b/roster/topology_test.go
@@ -115,9 +115,10 @@
 			n.hellos.Add(1)
 			reply = n.Serve(body.Hello)
 		case *wirepb.Frame_HostLost:
+			h, _ := n.Host(body.HostLost.GetName())
 			if body.HostLost.GetLeaving() {
-				n.RecordLeaving(body.HostLost.GetName(), body.HostLost.GetIncarnation())
-			} else if n.CheckHost(ctx, body.HostLost.GetName(), body.HostLost.GetIncarnation()) {
+				n.RecordLeaving(h.Name, body.HostLost.GetIncarnation())
+			} else if n.CheckHost(ctx, h.Name, body.HostLost.GetIncarnation()) && n.WasHub(h) {
 				send(n.Children(), call)
 			}
 		}
@@ -131,7 +132,9 @@
 	n.Roster = New(self, store, n.pool, zap.NewNop())
 	n.OnDead(func(h Host) {
 		send(n.Hubs(), lost(h, false))
-		send(n.Children(), lost(h, false))
+		if n.WasHub(h) {
+			send(n.Children(), lost(h, false))
+		}
 	})
 	n.OnLeaving(func(h Host) { send(n.Children(), lost(h, true)) })
 	close(ready)
@@ -205,3 +208,32 @@
 		awaitAgreement(t, "stop of a hub", nodes, strong+weak-4)
 	})
 }
+
+// TestAdoptedListSparesNewHosts checks that a node which takes over its parent's list
+// keeps the hosts that it has only just learned of, and drops the others that the list
+// lacks: after the end of all processes, hosts come back faster than lists spread.
+func TestAdoptedListSparesNewHosts(t *testing.T) {
+	hosts := fleetOf(14, 30)
+	self := hosts[len(hosts)-1]
+	r := New(self, memory.New(), nil, zap.NewNop())
+	for _, h := range hosts[:len(hosts)-1] {
+		r.recordReported(h)
+	}
+	fresh, old := hosts[20].Name, hosts[21].Name
+	for name, p := range r.hosts {
+		if name != fresh {
+			p.lastHeard = time.Now().Add(-2 * settleTime)
+		}
+	}
+	parent := newTopology(hosts).parents[self.Name]
+	reply := &wirepb.HelloReply{From: toHostInfo(r.hosts[parent].host), Settled: true}
+	for _, h := range hosts {
+		if h.Name != fresh && h.Name != old {
+			reply.Hosts = append(reply.Hosts, toHostInfo(h))
+		}
+	}
+	r.adoptList(reply)
+	check.Equal(t, "new host is alive", r.Alive(fresh, 0), true)
+	check.Equal(t, "other host is alive", r.Alive(old, 0), false)
+	check.Equal(t, "listed host is alive", r.Alive(hosts[22].Name, 0), true)
+}
