--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -26,11 +26,14 @@
 	routeHostname = "portal.example"
 	plainPath     = "/lookup/"
 	judgePath     = "/judge/"
-	batchPath     = "/rollout/"
-	streamPath    = "/talk/"
-	enginePool    = "lm-pool"
-	plainPool     = "portal"
-	testModel     = "tickets"
+	// strongHosts is the number of hosts with the largest processor capacity; a test
+	// with more has hosts that are not hubs.
+	strongHosts = 13
+	batchPath   = "/rollout/"
+	streamPath  = "/talk/"
+	enginePool  = "lm-pool"
+	plainPool   = "portal"
+	testModel   = "tickets"
 )
 
 type (
@@ -198,6 +201,10 @@
 		resolverAddress: fmt.Sprintf("%s:%d", ip, resolverPort),
 		adminAddress:    fmt.Sprintf("%s:%d", ip, adminPort),
 	}
+	quota := "0.8"
+	if i >= strongHosts {
+		quota = "0.2"
+	}
 	text := fmt.Sprintf(`node_name=%s
 ip=%s
 zone=zone-%d
@@ -208,10 +215,11 @@
 internal_ports=%d,65535
 platform.address=%s
 limits.memory_mb=134
+limits.cpu_quota=%s
 bounds.grace_s=8
 bounds.lease_ms=1000
 bounds.thaw_ms=100
-`, name, ip, i%2, h.callerAddress, h.readyAddress, h.resolverAddress, peerPort, s.store.Address())
+`, name, ip, i%2, h.callerAddress, h.readyAddress, h.resolverAddress, peerPort, s.store.Address(), quota)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
