--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -38,8 +38,8 @@
 	// rareListStride makes rare kinds, for which the bound does not hold, part of
 	// every third round of lists only.
 	rareListStride = 3
-	// pausePerNode lengthens the pause for each node, since each list is followed by
-	// a message to every node.
+	// pausePerNode lengthens the pause after a list or a watch for each node, since each
+	// is followed by a message to every node.
 	pausePerNode = 8 * time.Millisecond
 	// backupFactor multiplies the pause of the first node to get how long the second
 	// node waits for an update before it lists. Each further node waits pausePerRank
@@ -195,6 +195,13 @@
 	return min(time.Duration(maxPauseShare*float64(bound)), time.Duration(float64(interval)*backupFactor)+time.Duration(rank-1)*pausePerRank)
 }
 
+// WatchPause returns how long a node waits after a watch has returned changes before
+// it watches again. Changes that come meanwhile are returned together.
+//
+// It is designed for fleets in which dozens of endpoints change their entries each
+// second: each watch is a call of the store and a message to each of the nodes.
+func WatchPause(nodes int) time.Duration { return time.Duration(nodes) * pausePerNode }
+
 // listLoop lists whenever the node has received no update for the pause of its
 // rank. The node of rank 0 lists after each pause or update, and a node without a
 // list of its own does so too.
@@ -439,6 +446,8 @@
 		m.mu.Unlock()
 		if len(applied) > 0 {
 			m.fleet.Broadcast([]Update{{Kind: kind, Revision: next, Previous: previous, Changes: applied}})
+			_, nodes := m.fleet.Rank()
+			_ = waits.For(ctx, WatchPause(nodes))
 		}
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -337,3 +339,46 @@
 		})
 	}
 }
+
+// watchCounter counts the watches of a store.
+type watchCounter struct {
+	*memory.Store
+	watches atomic.Int64
+}
+
+func (s *watchCounter) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]object.Change, uint64, error) {
+	s.watches.Add(1)
+	return s.Store.Watch(ctx, kind, after, wait)
+}
+
+// manyNodes is a fleet of 18 nodes of which this one lists.
+type manyNodes struct{}
+
+func (manyNodes) Rank() (rank, nodes int) { return 0, 18 }
+func (manyNodes) Broadcast([]Update)      {}
+
+// TestWatchesOfManyChanges replays entries that change every 5 ms, as those of a large
+// fleet do: the calls of the store must not grow with the changes, and the last change
+// must arrive soon.
+func TestWatchesOfManyChanges(t *testing.T) {
+	store, r := &watchCounter{Store: memory.New()}, newRecorder()
+	r.applied = make(chan struct{}, 10000)
+	put(t, store.Store, "e0", "0")
+	m := New(store, manyNodes{}, 4*time.Second, zap.NewNop(), Kind{Name: kind, Apply: r.apply})
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = m.Run(ctx) })
+	defer tasks.Wait()
+	defer cancel()
+	r.await(t, map[string]string{"e0": "0"}, time.Second)
+	const period = 1500 * time.Millisecond
+	n := 0
+	for start := time.Now(); time.Since(start) < period; time.Sleep(5 * time.Millisecond) {
+		n++
+		put(t, store.Store, "e0", fmt.Sprint(n))
+	}
+	r.await(t, map[string]string{"e0": fmt.Sprint(n)}, 2*WatchPause(18))
+	if got, limit := store.watches.Load(), int64(period/WatchPause(18))+3; got > limit {
+		t.Errorf("%d watches for %d changes, want up to %d", got, n, limit)
+	}
+}
