--- a/edge/admin.go
+++ b/edge/admin.go
@@ -25,6 +25,10 @@
 		// LeaderRank is the node's position among the nodes that may be the leader, 0
 		// for the leader.
 		LeaderRank int `json:"rank"`
+		// Hub is true if the node passes messages on to other hosts, and Children names
+		// those hosts.
+		Hub      bool     `json:"hub"`
+		Children []string `json:"children"`
 		// Endpoints are the endpoints in the node's fleet.
 		Endpoints []fleet.State `json:"endpoints"`
 		// Batches are the batches that the node owns.
@@ -102,7 +106,12 @@
 	runtime.ReadMemStats(&memory)
 	rank, _ := e.peers.Rank()
 	sent, failed := e.store.Calls()
+	children := []string{}
+	for _, h := range e.roster.Children() {
+		children = append(children, h.Name)
+	}
 	return State{
+		Hub: e.roster.IsHub(), Children: children,
 		Status: e.status(), Leaving: e.leaving.Load(), LeaderRank: rank, Endpoints: e.fleet.All(),
 		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(),
 		Store:       StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
