--- a/batch/run.go
+++ b/batch/run.go
@@ -220,6 +220,7 @@
 	event.ItemAbandoned.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
 		zap.String("reason", reason), zap.Int("errors", j.items[i].serverErrors))
 	j.items[i].reward.cancelAttempts()
+	j.items[i].reward = nil
 	k.recordResult(j, Result{Item: it.ID, Failed: true, Text: strings.Join(j.items[i].texts, "\n"), Versions: j.items[i].versions})
 }
 
--- a/roster/hello.go
+++ b/roster/hello.go
@@ -16,7 +16,6 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/object"
-	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -212,30 +211,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	from := reply.GetFrom().GetName()
-	t := r.topology()
+	from, t := reply.GetFrom().GetName(), r.topology()
 	isParent := t.parents[r.self.Name] == from
 	if !isParent && !t.isHub[r.self.Name] {
 		return
 	}
-	names := make([]string, 0, len(t.hubs))
-	for _, hub := range t.hubs {
-		names = append(names, hub.Name)
-	}
 	for name, p := range r.hosts {
-		if name == from {
+		knowsBetter := isParent || !t.isHub[name] && t.parentOf(name) == from
+		if name == from || !knowsBetter {
 			continue
 		}
-		if !isParent {
-			// Dead hosts have no parent in the topology.
-			parent := t.parents[name]
-			if p.dead {
-				parent, _ = rendez.First(parentKey+name, names)
-			}
-			if t.isHub[name] || parent != from {
-				continue
-			}
-		}
 		incarnation, ok := listed[name]
 		switch {
 		case ok && p.dead && p.host.Incarnation == incarnation:
--- a/roster/topology.go
+++ b/roster/topology.go
@@ -30,10 +30,11 @@
 // parent, which watches it and passes messages on to it. So no host calls all others,
 // and the calls of a change grow with the number of hosts and not with its square.
 type topology struct {
-	hubs   []Host
-	isHub  map[string]bool
-	strong map[string]bool
-	// parents holds the parent of each host that is not a hub.
+	hubs []Host
+	// hubNames holds the names of the hubs, and isHub and strong mark hosts by name.
+	hubNames      []string
+	isHub, strong map[string]bool
+	// parents holds the parent of each active host that is not a hub.
 	parents map[string]string
 }
 
@@ -57,21 +58,30 @@
 	for _, name := range chooseHubs(active, strong) {
 		t.isHub[name] = true
 	}
-	var names []string
 	for _, h := range active {
 		if t.isHub[h.Name] {
 			t.hubs = append(t.hubs, h)
-			names = append(names, h.Name)
+			t.hubNames = append(t.hubNames, h.Name)
 		}
 	}
 	for _, h := range active {
 		if !t.isHub[h.Name] {
-			t.parents[h.Name], _ = rendez.First(parentKey+h.Name, names)
+			t.parents[h.Name] = t.parentOf(h.Name)
 		}
 	}
 	return t
 }
 
+// parentOf returns the hub to which a host that is not a hub belongs, also if the host
+// is not active.
+func (t *topology) parentOf(name string) string {
+	if parent, ok := t.parents[name]; ok {
+		return parent
+	}
+	parent, _ := rendez.First(parentKey+name, t.hubNames)
+	return parent
+}
+
 // chooseHubs returns the names of the hubs: all hosts of a small fleet, else strong
 // hosts.
 func chooseHubs(active []Host, strong []string) []string {
