fix(batch): an item with a durable result waits for no score

Cause: a node that takes a batch over restores complete texts from its backup, also of items whose results the keeper before had stored, and a keeper that reads another one's chunk let the reward calls of its items go on. No result was wrong: a position is decided by its chunk.

Change: neither restores nor keeps a reward call for a durable result.

Measured: TestDurableItemsWaitForNoScore fails without the change in both cases.

--- a/batch/job.go
+++ b/batch/job.go
@@ -267,6 +267,7 @@
 // lock.
 func (k *Keeper) commitChunk(j *job, results []Result) {
 	j.results.Commit(results)
+	j.endRewards()
 	j.pendingSince, j.confirmedAt = time.Now(), time.Now()
 	close(j.changed)
 	j.changed = make(chan struct{})
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -295,7 +295,7 @@
 		it := &j.submission.Items[i]
 		p, ok := k.partials.pop(it.ID, j.submission.MinVersion, j.route.SingleVersion, now)
 		switch {
-		case !ok:
+		case !ok || j.results.HasResult(it.ID):
 		case p.complete:
 			state := &j.items[i]
 			state.texts, state.versions = p.texts, p.versions
--- a/batch/reward.go
+++ b/batch/reward.go
@@ -81,6 +81,17 @@
 	state.texts, state.reward = nil, nil
 }
 
+// endRewards ends the reward calls of items that have a durable result, which another
+// keeper may have stored. The caller holds the lock.
+func (j *job) endRewards() {
+	for i := range j.items {
+		if state := &j.items[i]; state.reward != nil && j.results.HasResult(j.submission.Items[i].ID) {
+			state.reward.cancelAttempts()
+			state.texts, state.reward = nil, nil
+		}
+	}
+}
+
 // rewardService returns the service that the configuration in force selects for an
 // item's reward call. Without a route the call waits, since the route may come back.
 func (k *Keeper) rewardService(j *job, i int, now time.Time) (string, bool) {
--- a/batch/reward_test.go
+++ b/batch/reward_test.go
@@ -298,3 +298,40 @@
 	}
 	check.Equal(t, "reward calls", calls, map[string]int{"reward-scored0": 1, "reward-scored1": 1, "another": 1})
 }
+
+// TestDurableItemsWaitForNoScore checks that an item whose result another keeper has
+// stored has no reward call here: neither when this node takes the batch over with a
+// complete text in its backup, nor when it learns of that result later. Such items
+// counted as waiting for their score, and were backed up again.
+func TestDurableItemsWaitForNoScore(t *testing.T) {
+	newJob := func(t *testing.T) (*Keeper, *job) {
+		k := newKeeper(t, newCluster(), memory.New(), newJudge(), "a")
+		return k, k.newJob(Head{ID: "s", Host: "h", Path: "/b/x"}, submissionOf(t, "s", "scored0"))
+	}
+	stored := []Result{{Item: "scored0", Text: "scored0", Score: "signature"}}
+	assertNothingWaits := func(t *testing.T, j *job) {
+		t.Helper()
+		check.Equal(t, "items that wait for a score", j.scoring(), 0)
+		check.Equal(t, "complete texts without a durable result", len(j.completeTexts()), 0)
+	}
+	t.Run("stored before the takeover", func(t *testing.T) {
+		k, j := newJob(t)
+		k.StoreBackup([]PartialOutput{{Item: "scored0", Texts: []string{"scored0"}, Versions: []int{1}, Complete: true}})
+		j.results.Commit(stored)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.restorePartials(j)
+		assertNothingWaits(t, j)
+	})
+	t.Run("stored meanwhile", func(t *testing.T) {
+		k, j := newJob(t)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.finishText(j, 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		j.items[0].reward.attempts = []*rewardAttempt{{cancel: cancel}}
+		k.commitChunk(j, stored)
+		assertNothingWaits(t, j)
+		check.Equal(t, "attempt is cancelled", ctx.Err() != nil, true)
+	})
+}
