fix(sample): a sample is owed whatever crashes while it runs

Cause: samples carried the fingerprint of their prompt like a caller's request. One that was in flight at two crashes, at the second as the only suspect, was quarantined for 15 minutes; its group was launched again and again and refused each time, until the step's time was over. All samples of a group have one prompt, so one sample in trouble barred the group. Work that is handed in for later is never what crashes an engine by itself.

Change: samples have no fingerprint, and a request without one is never a suspect. So a sample is retried until its step ends, and a caller's request with the same prompt can't bar a trainer's either.

--- a/integ/step_test.go
+++ b/integ/step_test.go
@@ -147,6 +147,13 @@
 		fencing string
 	}{
 		"sampler crashes during a group": {inject: func(f *fleet) { f.Samplers()[0].Crash() }},
+		"samplers crash again and again": {inject: func(f *fleet) {
+			// Each sample is in flight at several crashes.
+			for i := range 5 * len(f.Samplers()) {
+				f.Samplers()[i%len(f.Samplers())].Crash()
+				time.Sleep(100 * time.Millisecond)
+			}
+		}},
 		"connections stall": {inject: func(f *fleet) {
 			for _, e := range f.Samplers() {
 				e.SetFaults(model.Faults{Stall: true})
--- a/permit/cell.go
+++ b/permit/cell.go
@@ -82,7 +82,8 @@
 		Prefix uint64
 		// Exclude lists endpoints that were already tried.
 		Exclude []string
-		// Fingerprint identifies the request's content.
+		// Fingerprint identifies the request's content. It is 0 for the work of trainers,
+		// which is owed whatever crashes while it runs.
 		Fingerprint uint64
 		// Alone requires an endpoint that runs no other request at the same time.
 		// A cell runs one such request at a time.
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -119,8 +119,12 @@
 }
 
 // Crashed records that an endpoint crashed with the request in flight. Alone
-// reports whether the endpoint ran no other suspect.
+// reports whether the endpoint ran no other suspect. A request without a fingerprint
+// is never a suspect.
 func (q *Quarantine) Crashed(fingerprint uint64, alone bool) {
+	if fingerprint == 0 {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	old := q.store.Get(factKey(fingerprint)).GetSuspect()
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -30,7 +30,6 @@
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/permit"
-	"github.com/currantloft/currantloft/poison"
 	"github.com/currantloft/currantloft/route"
 	"github.com/currantloft/currantloft/specs"
 	"github.com/currantloft/currantloft/waits"
@@ -158,9 +157,7 @@
 	text, result, err := t.generate(ctx, trainer)
 	if err != nil {
 		_ = t.machine.Fire("fail")
-		var failure *route.Error
-		quarantined := errors.As(err, &failure) && failure.Outcome() == route.Quarantined
-		return nil, !quarantined, err
+		return nil, true, err
 	}
 	_ = t.machine.Fire("generate")
 	if reason := rejectionReason(trainer, result.Versions()); reason != "" {
@@ -221,12 +218,11 @@
 		ID:      fmt.Sprintf("%s.%d.%d", t.id(), t.attempts, time.Now().UnixNano()),
 		Backend: backend,
 		PermitRequest: permit.Request{
-			Priority:    wirepb.Priority_PRIORITY_TRAINER,
-			Share:       trainer.Name(),
-			Weight:      trainer.Weight(),
-			Deadline:    deadline,
-			Prefix:      prefix,
-			Fingerprint: poison.Fingerprint(backend, []byte(prompt)),
+			Priority: wirepb.Priority_PRIORITY_TRAINER,
+			Share:    trainer.Name(),
+			Weight:   trainer.Weight(),
+			Deadline: deadline,
+			Prefix:   prefix,
 		},
 		Prompt:          prompt,
 		MaxTokens:       int(t.call.GetMaxTokens()),
