fix(batch): an item is owed whatever crashes while it runs

Cause: an item under which three endpoints in a row died before its first event was listed as errored, and one whose reward call met three dead endpoints too. That limit is meant for callers' requests that crash what runs them.

Change: items and reward calls have no limit of crashes; the pause after each failure grows to a second as before, until the queue time or the batch ends.

--- a/batch/job.go
+++ b/batch/job.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -76,22 +75,15 @@
 		// moved reports that the run was stopped to resume the item on another
 		// endpoint.
 		moved bool
-		// gotEvent reports that an event arrived. Crashed reports that the endpoint's
-		// process ended before the first one.
-		gotEvent atomic.Bool
-		crashed  bool
 	}
 
 	// itemState is the state of an item without a result.
 	itemState struct {
-		texts        []string
-		lastEvent    int
-		versions     []int
-		serverErrors int
-		failures     int
-		// crashes counts the endpoints that crashed while running the item, since its
-		// last event.
-		crashes       int
+		texts         []string
+		lastEvent     int
+		versions      []int
+		serverErrors  int
+		failures      int
 		avoidEndpoint string
 		notBefore     time.Time
 		// reward is the state of the item's reward call once its text is complete, nil
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -128,9 +128,7 @@
 		ValueBytes int
 		Fleet      *fleet.Fleet
 		Engine     Engine
-		// EndpointExited reports whether an endpoint's process has ended.
-		EndpointExited func(ctx context.Context, target fleet.Target) bool
-		Peers          Peers
+		Peers      Peers
 		// Policy decides the order and the endpoints of items.
 		Policy Policy
 		// IsLeader reports whether this node performs the tasks that only one node of
--- a/batch/reward.go
+++ b/batch/reward.go
@@ -37,9 +37,8 @@
 		attempts []*rewardAttempt
 		// failedAt lists the endpoints where an attempt has failed.
 		failedAt []string
-		// failures counts failed attempts, serverErrors those answered with status 500,
-		// and crashes the endpoints in a row that crashed during an attempt.
-		failures, serverErrors, crashes int
+		// failures counts failed attempts, and serverErrors those answered with status 500.
+		failures, serverErrors int
 		// missingLoggedAt is when the absence of a route was last logged.
 		missingLoggedAt time.Time
 	}
@@ -190,11 +189,7 @@
 		defer cancel()
 		reply, signature, err := k.sendReward(ctx, it.Reward, target, deadline)
 		k.deps.Fleet.End(target.ID(), rewardFleetResult(ctx, reply))
-		crashed := false
-		if _, lost := reply.(relay.Lost); lost && ctx.Err() == nil {
-			crashed = k.deps.EndpointExited(ctx, target)
-		}
-		k.endReward(ctx, ref, state, attempt, rewardOutcome{reply: reply, signature: signature, crashed: crashed, err: err})
+		k.endReward(ctx, ref, state, attempt, rewardOutcome{reply: reply, signature: signature, err: err})
 	})
 }
 
@@ -228,7 +223,6 @@
 type rewardOutcome struct {
 	reply     relay.Reply
 	signature string
-	crashed   bool
 	err       error
 }
 
@@ -262,21 +256,11 @@
 	}
 	k.deps.Scope.Counter("reward_failures").Inc(1)
 	event.RewardCallFailed.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID), zap.String("call", it.Reward.ID),
-		zap.String("endpoint", attempt.target.ID()), zap.Int("failures", state.failures), zap.Bool("crashed", outcome.crashed), zap.Error(outcome.err))
-	if outcome.crashed {
-		state.crashes++
-	}
-	answer, ok := outcome.reply.(relay.Answer)
-	if ok {
-		state.crashes = 0
-	}
-	if ok && answer.Status == http.StatusInternalServerError {
+		zap.String("endpoint", attempt.target.ID()), zap.Int("failures", state.failures), zap.Error(outcome.err))
+	if answer, ok := outcome.reply.(relay.Answer); ok && answer.Status == http.StatusInternalServerError {
 		state.serverErrors++
 	}
-	switch {
-	case state.crashes >= maxCrashes:
-		k.abandon(j, i, "reward call crashed too many endpoints in a row")
-	case state.serverErrors >= k.rewardRoute(it.Reward).Attempts():
+	if state.serverErrors >= k.rewardRoute(it.Reward).Attempts() {
 		k.abandon(j, i, "reward call failed too often")
 	}
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -35,10 +35,6 @@
 	failureBackoff = 30 * time.Millisecond
 	// maxFailureBackoff limits that wait.
 	maxFailureBackoff = time.Second
-	// maxCrashes is how many endpoints in a row may crash, each before the run's
-	// first event, until an item is abandoned; the platform's rules start to count
-	// at the third crash.
-	maxCrashes = 3
 	// statusPermanentFailure is the status of an endpoint's answer for an item that
 	// can never succeed.
 	statusPermanentFailure = http.StatusUnprocessableEntity
@@ -251,7 +247,6 @@
 		} else {
 			k.deps.Fleet.End(target.ID(), fleetResult(ctx, reply, err))
 		}
-		r.crashed = k.endpointCrashed(ctx, r, reply, err)
 		k.endRun(ctx, j, i, r, reply, err)
 	})
 }
@@ -286,19 +281,6 @@
 	return reply, k.deps.Engine.ReadEvents(answer.Body, reader.recordEvent)
 }
 
-// endpointCrashed reports whether the endpoint's process ended during the run,
-// before the run's first event.
-func (k *Keeper) endpointCrashed(ctx context.Context, r *itemRun, reply relay.Reply, err error) bool {
-	if err == nil || ctx.Err() != nil || r.gotEvent.Load() {
-		return false
-	}
-	answer, ok := reply.(relay.Answer)
-	_, lost := reply.(relay.Lost)
-	rejectedHere := errors.Is(err, errOldVersion) || errors.Is(err, errMixedVersions) || errors.Is(err, errUnsignedStream)
-	cut := ok && answer.Status == http.StatusOK && !rejectedHere
-	return (lost || cut) && k.deps.EndpointExited(ctx, r.target)
-}
-
 // streamReader is the state of reading one stream.
 type streamReader struct {
 	keeper      *Keeper
@@ -352,8 +334,6 @@
 		k.deps.Fleet.RecordEventInterval(r.run.target.ID(), now.Sub(r.lastEventAt))
 	}
 	r.lastEventAt = now
-	r.run.gotEvent.Store(true)
-	state.crashes = 0
 	state.lastEvent = e.ID
 	state.texts = append(state.texts, e.Data)
 	if r.version != 0 && !slices.Contains(state.versions, r.version) {
@@ -394,15 +374,8 @@
 	state.notBefore = time.Now().Add(min(maxFailureBackoff, failureBackoff*time.Duration(state.failures)))
 	event.ItemRunFailed.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
 		zap.String("endpoint", target.ID()), zap.Int("events", len(state.texts)),
-		zap.Bool("stalled", ctx.Err() != nil), zap.Bool("crashed", r.crashed), zap.Error(err))
+		zap.Bool("stalled", ctx.Err() != nil), zap.Error(err))
 	k.deps.Scope.Counter("item_failures").Inc(1)
-	if r.crashed {
-		state.crashes++
-		if state.crashes >= maxCrashes {
-			k.abandon(j, i, "crashed too many endpoints in a row")
-			return
-		}
-	}
 	answer, ok := reply.(relay.Answer)
 	if !ok {
 		return
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -127,7 +127,7 @@
 	})
 	e.keeper = batch.New(batch.Deps{
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
-		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, EndpointExited: e.suspects.exited, Peers: e.peers, IsLeader: e.isLeader,
+		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: e.peers, IsLeader: e.isLeader,
 		Policy: options.Policy.items, Retention: settings.Retention(), Routes: e.table.Load,
 		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
 	})
