fix(batch): an item does not wait for a weight version that is gone

On a route with single_version, an item whose endpoint crashed in the middle of its text waited until its queue time was over, with endpoints idle.

Cause: partial output may only be continued by the version that made it, so placement skipped every endpoint with another one. If the last endpoint with that version is gone, or has loaded the next one, nothing can be chosen.

Change: if for half a second no endpoint that answers has the version, while another could start the item anew, the partial output is discarded (event 898). While nothing else could run it, and while such an endpoint is only full or busy, it is kept. Half a second is longer than the pause of an endpoint after its first failure (200 ms).

--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -13,6 +13,7 @@
 	"github.com/currantloft/currantloft/fakes/memory"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/relay"
+	"github.com/currantloft/currantloft/routes"
 )
 
 // manyCrashes is more crashes than a request would survive.
@@ -122,3 +123,91 @@
 		t.Errorf("the item ran %d times, want %d to %d", runs, manyCrashes+1, maxRuns)
 	}
 }
+
+// versionedEngine answers with the weight version of its endpoint. It crashes after
+// the first event of the first run.
+type versionedEngine struct {
+	instantEngine
+	mu      sync.Mutex
+	runs    int
+	crashed chan struct{}
+}
+
+func (e *versionedEngine) Send(_ context.Context, target fleet.Target, request relay.Request) relay.Reply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs++
+	version := 2
+	if target.ID() == "e" {
+		version = 1
+	}
+	return relay.Answer{
+		Status: 200, Signed: true, Streamed: true, Version: version,
+		Body: io.NopCloser(strings.NewReader(fmt.Sprint(e.runs, request.LastEventID+1))),
+	}
+}
+
+func (e *versionedEngine) ReadEvents(body io.Reader, emit func(Event) error) error {
+	var run, first int
+	if _, err := fmt.Fscan(body, &run, &first); err != nil {
+		return err
+	}
+	if err := emit(Event{ID: first, Data: fmt.Sprint("event ", first)}); err != nil {
+		return err
+	}
+	if run == 1 {
+		close(e.crashed)
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// TestItemOwedAfterItsVersionIsGone checks that an item which may have only one
+// version is generated anew if no endpoint has the version of its partial output.
+func TestItemOwedAfterItsVersionIsGone(t *testing.T) {
+	engine := &versionedEngine{crashed: make(chan struct{})}
+	k := newKeeper(t, newCluster(), memory.New(), engine, "a")
+	table := routes.NewTable(1, []routes.Route{{
+		Host: "h", Prefix: "/b/", Kind: routes.Rollout, Shares: []routes.Share{{Service: "pool", Weight: 1}},
+		MaxAttempts: 3, MaxQueue: time.Minute, ResultDeadline: testLimit, SingleVersion: true,
+	}}, nil, routes.Limits{})
+	k.deps.Routes = func() *routes.Table { return table }
+	acceptAt(t, k, "s", "i0")
+	select {
+	case <-engine.crashed:
+	case <-time.After(testLimit):
+		t.Fatal("the item did not run")
+	}
+	k.deps.Fleet.Remove("e", 0)
+	k.deps.Fleet.Put(fleet.Entry{ID: "e2", Service: "pool", Address: "x:1", Slots: 16, Versions: map[string]int{testModel: 2}})
+	result := readUntil(t, k, "s", 0).Results[0]
+	check.Equal(t, "result", result, Result{Item: "i0", Text: "event 0", Versions: []int{2}})
+}
+
+func TestVersionUnavailable(t *testing.T) {
+	entry := func(version int) fleet.Entry {
+		return fleet.Entry{ID: "e", Service: "pool", Slots: 1, Versions: map[string]int{testModel: version}}
+	}
+	for name, tc := range map[string]struct {
+		states []fleet.State
+		want   bool
+	}{
+		"served":                       {[]fleet.State{{Entry: entry(3)}, {Entry: entry(4)}}, false},
+		"endpoint is full":             {[]fleet.State{{Entry: entry(3), Full: true}, {Entry: entry(4)}}, false},
+		"endpoint is busy":             {[]fleet.State{{Entry: entry(3), OwnInFlight: 1}, {Entry: entry(4)}}, false},
+		"endpoint is paused":           {[]fleet.State{{Entry: entry(3), Paused: true}, {Entry: entry(4)}}, true},
+		"endpoint changes its version": {[]fleet.State{{Entry: entry(3), ChangingModel: testModel}, {Entry: entry(4)}}, true},
+		"only another version":         {[]fleet.State{{Entry: entry(4)}}, true},
+		"other endpoint is full":       {[]fleet.State{{Entry: entry(4), Full: true}}, true},
+		"other endpoint is paused":     {[]fleet.State{{Entry: entry(4), Paused: true}}, false},
+		"other version is too old":     {[]fleet.State{{Entry: entry(1)}}, false},
+		"no endpoint":                  {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := WaitingItem{Model: testModel, MinVersion: 2, PinnedVersion: 3}
+			check.Equal(t, "unavailable", w.versionUnavailable(tc.states), tc.want)
+			w.PinnedVersion = 0
+			check.Equal(t, "unavailable without a pinned version", w.versionUnavailable(tc.states), false)
+		})
+	}
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -86,6 +86,9 @@
 		failures      int
 		avoidEndpoint string
 		notBefore     time.Time
+		// versionMissingSince is since when no endpoint can continue the partial output
+		// with its only version, zero while one can.
+		versionMissingSince time.Time
 		// reward is the state of the item's reward call once its text is complete, nil
 		// before and for an item without such a call.
 		reward *rewardState
@@ -111,6 +114,11 @@
 	return j
 }
 
+// discardOutput discards the partial output, so that the item starts anew.
+func (s *itemState) discardOutput() {
+	s.texts, s.versions, s.lastEvent = nil, nil, -1
+}
+
 // due returns when the batch's results are due.
 func (j *job) due() time.Time {
 	from := j.submittedAt
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -298,6 +298,27 @@
 	}
 }
 
+// versionUnavailable reports whether no endpoint can continue the item with its
+// pinned version, while one can generate it anew with another version.
+func (w WaitingItem) versionUnavailable(states []fleet.State) bool {
+	if w.PinnedVersion == 0 {
+		return false
+	}
+	anew := w
+	anew.PinnedVersion = 0
+	other := false
+	for _, state := range states {
+		if state.Paused {
+			continue
+		}
+		if versionFits(w, state) {
+			return false
+		}
+		other = other || versionFits(anew, state)
+	}
+	return other
+}
+
 // versionFits reports whether an endpoint's weights may generate the item's
 // output.
 func versionFits(w WaitingItem, state fleet.State) bool {
--- a/batch/run.go
+++ b/batch/run.go
@@ -35,6 +35,10 @@
 	failureBackoff = 30 * time.Millisecond
 	// maxFailureBackoff limits that wait.
 	maxFailureBackoff = time.Second
+	// maxVersionWait is how long the partial output of an item that may have only one
+	// version waits for an endpoint with that version. An endpoint that has failed once
+	// is back before.
+	maxVersionWait = 500 * time.Millisecond
 	// statusPermanentFailure is the status of an endpoint's answer for an item that
 	// can never succeed.
 	statusPermanentFailure = http.StatusUnprocessableEntity
@@ -120,6 +124,9 @@
 	k.moveItems(now)
 	for service, list := range waiting {
 		states := k.deps.Fleet.Serving(service)
+		for n := range list {
+			k.releaseVersion(refs[list[n].Index], &list[n], states, now)
+		}
 		for _, p := range PlanWithPolicy(k.deps.Policy, list, states, k.engineMemory(service), k.groupEndpoints) {
 			k.startRun(refs[p.Index].job, refs[p.Index].item, p.Target)
 			unplaced--
@@ -129,6 +136,24 @@
 	return unplaced > 0 || k.anyRunning()
 }
 
+// releaseVersion discards an item's partial output if no endpoint can continue it with
+// its only version for maxVersionWait: that version may not come back.
+func (k *Keeper) releaseVersion(ref itemRef, w *WaitingItem, states []fleet.State, now time.Time) {
+	state := &ref.job.items[ref.item]
+	switch {
+	case !w.versionUnavailable(states):
+		state.versionMissingSince = time.Time{}
+	case state.versionMissingSince.IsZero():
+		state.versionMissingSince = now
+	case now.Sub(state.versionMissingSince) >= maxVersionWait:
+		event.ItemRestarted.Log(k.deps.Logger, zap.String("batch", ref.job.head.ID), zap.String("item", ref.job.submission.Items[ref.item].ID),
+			zap.Int("version", w.PinnedVersion), zap.Int("events", len(state.texts)))
+		state.discardOutput()
+		state.versionMissingSince = time.Time{}
+		*w = waitingOf(ref.job, ref.item, w.Index, k.tokensPerEvent(ref.job.route.Service(ref.job.head.ID)))
+	}
+}
+
 func (k *Keeper) anyRunning() bool {
 	for _, j := range k.jobs {
 		if len(j.running) > 0 {
@@ -308,7 +333,7 @@
 	defer k.mu.Unlock()
 	state := &j.items[r.item]
 	if j.route.SingleVersion && len(state.versions) > 0 && state.versions[0] != version {
-		*state = itemState{lastEvent: -1, serverErrors: state.serverErrors, failures: state.failures}
+		state.discardOutput()
 		return errMixedVersions
 	}
 	return nil
--- a/event/event.go
+++ b/event/event.go
@@ -124,6 +124,7 @@
 	RewardCallFailed        = define(895, "reward_call_failed", zapcore.InfoLevel)
 	ItemScored              = define(896, "item_scored", zapcore.DebugLevel)
 	RewardRouteMissing      = define(897, "reward_route_missing", zapcore.WarnLevel)
+	ItemRestarted           = define(898, "item_restarted", zapcore.InfoLevel)
 
 	VersionNamed       = define(880, "version_named", zapcore.InfoLevel)
 	VersionUnreadable  = define(881, "version_unreadable", zapcore.ErrorLevel)
