fix(mirror): merged updates don't hide a change that is missing between them

The joined update claimed to hold all changes after the older one's predecessor, also if the hub itself had missed an update between the two, from another sender. Its hosts then counted their copy as complete without that change, and nothing told them of it until the object changed again. The hub notices its own gap and lists, but passes nothing of that list on.

Change: updates that don't touch or overlap are joined to one that claims only the part after the gap, so that a host which lacks the change notices and lists. applyWatch is the body of watchLoop as it was, for the tests.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -133,7 +133,9 @@
 	}
 )
 
-// Merge returns updates that hold the newest change of each object in both lists.
+// Merge returns updates that hold the newest change of each object in both lists. If
+// changes between two updates of a kind are missing, the merged one claims only those
+// after the gap to be complete, so that its receivers notice.
 func Merge(earlier, later []Update) []Update {
 	merged := append([]Update(nil), earlier...)
 	for _, update := range later {
@@ -153,8 +155,12 @@
 				changes = append(changes, change)
 			}
 		}
+		previous := min(m.Previous, update.Previous)
+		if update.Previous > m.Revision || m.Previous > update.Revision {
+			previous = max(m.Previous, update.Previous)
+		}
 		merged[i] = Update{
-			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Previous: min(m.Previous, update.Previous), Unavailable: m.Unavailable || update.Unavailable,
+			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Previous: previous, Unavailable: m.Unavailable || update.Unavailable,
 			Changes: append(changes, update.Changes...),
 		}
 	}
@@ -438,16 +444,22 @@
 			continue
 		}
 		revision = next
-		m.mu.Lock()
-		c := m.kinds[kind]
-		previous := c.changedAt
-		applied := c.apply(changes, false)
-		c.complete(next)
-		m.mu.Unlock()
-		if len(applied) > 0 {
-			m.fleet.Broadcast([]Update{{Kind: kind, Revision: next, Previous: previous, Changes: applied}})
+		if update := m.applyWatch(kind, changes, next); len(update.Changes) > 0 {
+			m.fleet.Broadcast([]Update{update})
 			_, nodes := m.fleet.Rank()
 			_ = waits.For(ctx, WatchPause(nodes))
 		}
 	}
 }
+
+// applyWatch applies the changes that a watch has returned, and returns them as an
+// update. The watch continues from next.
+func (m *Mirror) applyWatch(kind string, changes []object.Change, next uint64) Update {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[kind]
+	previous := c.changedAt
+	applied := c.apply(changes, false)
+	c.complete(next)
+	return Update{Kind: kind, Revision: next, Previous: previous, Changes: applied}
+}
