fix(mirror): a node never claims to know a change that it has missed

The same cause can make an endpoint's entry that is gone come back.

Cause: a node counts its copy as complete up to a revision on the word of its peers' updates.

Evidence: TestMissedChangeIsNeverClaimed (random lists, watches, restarts, updates that are lost, late, overtaken or merged, between three nodes) fails on after 9 cases: 'complete up to 2, but a changed at 2 (removed: true) and is held at 1'.

Change: nothing of a first list is sent; a copy after it is complete up to its newest object only; peers ignore changes that their copy already covers; removals are passed on always; an update after a first list or an outage makes peers that are not up to date list for themselves. That costs each of them one list then.

--- a/mirror/claim_test.go
+++ b/mirror/claim_test.go
@@ -1,11 +1,193 @@
 package mirror
 
 import (
+	"context"
+	"slices"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
 	"github.com/currantloft/currantloft/fakes/check"
+	"github.com/currantloft/currantloft/object"
+)
+
+type (
+	// history is a store that remembers all changes, so that lists can be stale.
+	history struct {
+		object.Store
+		changes []object.Change
+		// hidden holds the removals of objects that came and went between two lists of
+		// one node. In use an entry lives longer than the pause between two lists.
+		hidden map[uint64]bool
+		// lag is by how many revisions the next stale list is behind.
+		lag uint64
+	}
+
+	// outbox keeps the broadcasts of one mirror.
+	outbox struct{ sent [][]Update }
 )
 
+func (o *outbox) Rank() (rank, nodes int)    { return 0, 3 }
+func (o *outbox) Broadcast(updates []Update) { o.sent = append(o.sent, updates) }
+
+func (h *history) revision() uint64 { return uint64(len(h.changes)) }
+
+func (h *history) change(name string, removed bool) {
+	h.changes = append(h.changes, object.Change{Entry: object.Entry{Name: name, Revision: h.revision() + 1}, Removed: removed})
+}
+
+// newest returns the newest change of each object up to a revision.
+func (h *history) newest(upTo uint64) map[string]object.Change {
+	newest := make(map[string]object.Change)
+	for _, c := range h.changes[:upTo] {
+		newest[c.Entry.Name] = c
+	}
+	return newest
+}
+
+func (h *history) List(_ context.Context, _ string, freshness object.Freshness) ([]object.Entry, uint64, error) {
+	upTo := h.revision()
+	if freshness == object.Stale {
+		upTo -= min(upTo, h.lag)
+	}
+	var entries []object.Entry
+	for _, c := range h.newest(upTo) {
+		if !c.Removed {
+			entries = append(entries, c.Entry)
+		}
+	}
+	return entries, upTo, nil
+}
+
+// removedSince reports whether an object was removed at a revision or after it.
+func (h *history) removedSince(name string, revision uint64) bool {
+	return slices.ContainsFunc(h.changes, func(c object.Change) bool {
+		return c.Removed && c.Entry.Name == name && c.Entry.Revision >= revision
+	})
+}
+
+// hide records the removals after a revision of objects that were created after it.
+func (h *history) hide(after uint64) {
+	before := h.newest(after)
+	for _, c := range h.changes[after:] {
+		if held, ok := before[c.Entry.Name]; c.Removed && (!ok || held.Removed) {
+			h.hidden[c.Entry.Revision] = true
+		}
+	}
+}
+
+// since returns the newest change of each object after a revision, as a watch does.
+func (h *history) since(after uint64) []object.Change {
+	var changes []object.Change
+	for _, c := range h.newest(h.revision()) {
+		if c.Entry.Revision > after {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+// TestMissedChangeIsNeverClaimed lists, watches, restarts and passes updates on between
+// three nodes, in random order. Updates are lost, overtake each other and are merged. A
+// node that counts its copy as complete up to a revision must know each change up to it.
+func TestMissedChangeIsNeverClaimed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const nodes = 3
+		store := &history{hidden: make(map[uint64]bool)}
+		var mirrors [nodes]*Mirror
+		var sent [nodes]*outbox
+		var inbox [nodes][][]Update
+		start := func(i int) {
+			sent[i] = &outbox{}
+			inbox[i] = nil
+			mirrors[i] = New(store, sent[i], time.Second, zap.NewNop(), Kind{Name: kind, Apply: func(object.Change, bool) {}})
+		}
+		for i := range nodes {
+			start(i)
+		}
+		node := func(t *rapid.T) int { return rapid.IntRange(0, nodes-1).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				store.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "removed"))
+			},
+			"restart": func(t *rapid.T) { start(node(t)) },
+			"list": func(t *rapid.T) {
+				m := mirrors[node(t)]
+				store.lag = rapid.Uint64Range(0, 4).Draw(t, "lag")
+				if c := m.kinds[kind]; c.listed && !c.stale {
+					store.hide(c.revision)
+				}
+				m.listKinds(context.Background(), rapid.Bool().Draw(t, "broadcast"))
+			},
+			"watch": func(t *rapid.T) {
+				i := node(t)
+				if !mirrors[i].Listed(kind) {
+					t.Skip("watches begin after a list")
+				}
+				if update := mirrors[i].applyWatch(kind, store.since(mirrors[i].kinds[kind].revision), store.revision()); len(update.Changes) > 0 {
+					sent[i].Broadcast([]Update{update})
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				i := node(t)
+				if len(inbox[i]) == 0 {
+					t.Skip("no update")
+				}
+				n := rapid.IntRange(0, len(inbox[i])-1).Draw(t, "update")
+				mirrors[i].Apply(inbox[i][n])
+				inbox[i] = append(inbox[i][:n:n], inbox[i][n+1:]...)
+			},
+			"lose": func(t *rapid.T) {
+				i := node(t)
+				if len(inbox[i]) == 0 {
+					t.Skip("no update")
+				}
+				inbox[i] = inbox[i][1:]
+			},
+			"merge": func(t *rapid.T) {
+				i := node(t)
+				if len(inbox[i]) < 2 {
+					t.Skip("fewer than two updates")
+				}
+				inbox[i] = append([][]Update{Merge(inbox[i][0], inbox[i][1])}, inbox[i][2:]...)
+			},
+			"": func(t *rapid.T) {
+				for i, m := range mirrors {
+					for _, updates := range sent[i].sent {
+						for j := range inbox {
+							if j != i {
+								inbox[j] = append(inbox[j], updates)
+							}
+						}
+					}
+					sent[i].sent = nil
+					assertKnows(t, m.kinds[kind], store)
+				}
+			},
+		})
+	})
+}
+
+// assertKnows fails the test if a copy lacks a change up to the revision to which it
+// counts as complete.
+func assertKnows(t *rapid.T, c *kindCopy, store *history) {
+	t.Helper()
+	if !c.listed {
+		return
+	}
+	for name, change := range store.newest(min(c.revision, store.revision())) {
+		revision := change.Entry.Revision
+		held, exists := c.revisions[name]
+		if exists && held >= revision || !exists && store.removedSince(name, revision) || change.Removed && store.hidden[revision] {
+			continue
+		}
+		t.Fatalf("complete up to %d, but %s changed at %d (removed: %t) and is held at %d, removed at %d",
+			c.revision, name, revision, change.Removed, held, c.removals[name])
+	}
+}
+
 func TestMergeKeepsGaps(t *testing.T) {
 	for name, tc := range map[string]struct {
 		earlier, later Update
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -130,6 +130,8 @@
 		removals  map[string]uint64
 		// listed is true once the copy is complete, by a list of this node's own.
 		listed bool
+		// stale is true from the first list, which may be seconds old, to the second.
+		stale bool
 	}
 )
 
@@ -268,9 +270,11 @@
 
 // listKinds lists all kinds that are due, applies the changes and, if wanted, sends
 // them to the peers. It reports whether all lists succeeded. The first lists may be
-// out of date: the first update tells whether something is missing.
+// out of date: the first update tells whether something is missing, and the peers get
+// nothing of them.
 func (m *Mirror) listKinds(ctx context.Context, broadcast bool) bool {
 	unavailable := m.unavailable()
+	first := false
 	updates := make([]Update, 0, len(m.kindOrder))
 	m.listCount++
 	for _, kind := range m.kindOrder {
@@ -278,6 +282,7 @@
 		if !due {
 			continue
 		}
+		first = first || freshness == object.Stale
 		entries, revision, err := m.store.List(ctx, kind, freshness)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -287,7 +292,7 @@
 		}
 		updates = append(updates, m.applyList(kind, entries, revision, unavailable))
 	}
-	if broadcast {
+	if broadcast && !first {
 		m.fleet.Broadcast(updates)
 	}
 	return true
@@ -319,8 +324,10 @@
 	c := m.kinds[kind]
 	var changes []object.Change
 	seen := make(map[string]bool, len(entries))
+	newest := uint64(0)
 	for _, entry := range entries {
 		seen[entry.Name] = true
+		newest = max(newest, entry.Revision)
 		changes = append(changes, object.Change{Entry: entry})
 	}
 	for name, revision := range c.revisions {
@@ -331,8 +338,25 @@
 	m.freshAt = time.Now()
 	previous := c.changedAt
 	applied := c.apply(changes, unavailable)
-	c.complete(upTo)
-	c.listed = true
+	switch {
+	case !c.listed:
+		// The list may be older than its revision says. An empty one shows nothing to
+		// go by.
+		if newest == 0 {
+			newest = upTo
+		}
+		c.complete(newest)
+		c.changedAt = max(c.changedAt, upTo)
+		c.listed, c.stale = true, true
+	case unavailable || c.stale:
+		// Objects may have come and gone since the last list; peers may hold them.
+		c.complete(upTo)
+		c.changedAt = max(c.changedAt, upTo)
+		c.stale = false
+		previous = c.changedAt
+	default:
+		c.complete(upTo)
+	}
 	return Update{Kind: kind, Revision: upTo, Previous: previous, Unavailable: unavailable, Changes: applied}
 }
 
@@ -368,6 +392,15 @@
 	return c != nil && c.listed
 }
 
+// unknown returns the changes that may be missing in the copy. An object that changed
+// before the revision up to which the copy is complete, and is not in it, has been
+// removed since.
+func (c *kindCopy) unknown(changes []object.Change) []object.Change {
+	return slices.DeleteFunc(slices.Clone(changes), func(change object.Change) bool {
+		return c.listed && change.Entry.Revision <= c.revision
+	})
+}
+
 // apply applies the changes that are newer than the copy, and returns them.
 func (c *kindCopy) apply(changes []object.Change, unavailable bool) []object.Change {
 	var applied []object.Change
@@ -378,6 +411,12 @@
 		case change.Removed && exists && revision >= current:
 			delete(c.revisions, name)
 			c.removals[name] = revision
+		case change.Removed && !exists && revision > c.removals[name]:
+			// A peer may hold the object.
+			c.removals[name] = revision
+			applied = append(applied, change)
+			c.changedAt = max(c.changedAt, revision)
+			continue
 		case !change.Removed && revision > current && revision > c.removals[name]:
 			c.revisions[name] = revision
 		default:
@@ -396,7 +435,7 @@
 	missing := false
 	for _, update := range updates {
 		if c := m.kinds[update.Kind]; c != nil {
-			c.apply(update.Changes, update.Unavailable)
+			c.apply(c.unknown(update.Changes), update.Unavailable)
 			missing = c.receive(update) && c.listed || missing
 		}
 	}
