fix(mirror): changes of one kind don't confirm that the others are current

Cause: each update from a peer put off a node's own list, also one that a watch of the endpoints had returned. While the first node can watch the endpoints but its lists fail and its watch of the configuration is silent, updates keep coming many times a second, and nobody else lists the configuration.

Evidence: TestWatchesDoNotReplaceLists fails on: the second node still has the old configuration after the bound of 2 s.

Change: only an update with every kind that the bound holds for counts as news that makes a node's own list needless.

--- a/mirror/claim_test.go
+++ b/mirror/claim_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/currantloft/currantloft/fakes/check"
+	"github.com/currantloft/currantloft/fakes/memory"
 	"github.com/currantloft/currantloft/object"
 )
 
@@ -207,3 +211,67 @@
 		})
 	}
 }
+
+// partlyFailing is a store whose lists fail, and whose watches of the first kind are
+// silent, while it is set.
+type partlyFailing struct {
+	*memory.Store
+	failing atomic.Bool
+}
+
+func (s *partlyFailing) List(ctx context.Context, kind string, freshness object.Freshness) ([]object.Entry, uint64, error) {
+	if s.failing.Load() {
+		return nil, 0, errors.New("unavailable")
+	}
+	return s.Store.List(ctx, kind, freshness)
+}
+
+func (s *partlyFailing) Watch(ctx context.Context, name string, after uint64, wait time.Duration) ([]object.Change, uint64, error) {
+	if name == kind {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return s.Store.Watch(ctx, name, after, wait)
+}
+
+// TestWatchesDoNotReplaceLists checks that a node lists for itself if all it hears from
+// its peers are changes of another kind.
+func TestWatchesDoNotReplaceLists(t *testing.T) {
+	const other = "endpoints"
+	store := memory.New()
+	put(t, store, "main", "1")
+	failing := &partlyFailing{Store: store}
+	fleet := &testFleet{}
+	ctx, cancel := context.WithCancel(t.Context())
+	var recorders []*recorder
+	done := make(chan struct{}, 3)
+	for rank, s := range []object.Store{failing, store} {
+		r := newRecorder()
+		recorders = append(recorders, r)
+		fleet.mirrors = append(fleet.mirrors, New(s, fleetPeer{fleet, rank}, bound, zap.NewNop(),
+			Kind{Name: kind, Apply: r.apply}, Kind{Name: other, Apply: func(object.Change, bool) {}}))
+	}
+	for _, m := range fleet.mirrors {
+		go func() {
+			_ = m.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	go func() {
+		defer func() { done <- struct{}{} }()
+		for n := 0; ctx.Err() == nil; n++ {
+			_, _ = store.Create(ctx, other, fmt.Sprint(n), []byte("{}"))
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		for range 3 {
+			<-done
+		}
+	})
+	recorders[1].await(t, map[string]string{"main": "1"}, bound)
+	failing.failing.Store(true)
+	put(t, store, "main", "2")
+	recorders[1].await(t, map[string]string{"main": "2"}, bound)
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -108,7 +108,8 @@
 		mu        sync.Mutex
 		kinds     map[string]*kindCopy
 		kindOrder []string
-		received  chan struct{}
+		// received signals that an update has confirmed all kinds that are not rare.
+		received chan struct{}
 		// gapped signals that this node may have missed an update.
 		gapped chan struct{}
 		// freshAt is when the copy was last known to be up to date.
@@ -433,15 +434,23 @@
 func (m *Mirror) Apply(updates []Update) {
 	m.mu.Lock()
 	missing := false
+	kinds := make(map[string]bool, len(updates))
 	for _, update := range updates {
 		if c := m.kinds[update.Kind]; c != nil {
 			c.apply(c.unknown(update.Changes), update.Unavailable)
 			missing = c.receive(update) && c.listed || missing
+			kinds[update.Kind] = true
 		}
 	}
 	m.freshAt = time.Now()
+	current := true
+	for name, c := range m.kinds {
+		current = current && (c.kind.Rare || kinds[name])
+	}
 	m.mu.Unlock()
-	signal(m.received)
+	if current {
+		signal(m.received)
+	}
 	if missing {
 		signal(m.gapped)
 	}
