fix(platform): an answer without end costs a bounded number of bytes

Cause: a head could have ten megabytes, and so could interim answers; what a stream sent before an event was complete was limited for each line only, so that many short lines, empty lines or comments were read for as long as they came, and in resumable streams kept in memory (at 1 Gbit/s more than a host's memory within the 1.2 s after which a stream counts as stalled).

Ruled out: chunk sizes, chunk extensions and trailers without end (the library limits them), bodies of plain answers, reward calls, reports and orders (limited before).

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -88,7 +88,7 @@
 // endpoint stalls or disconnects.
 func (r *resumableStream) next() ([]byte, error) {
 	var eventBytes []byte
-	id := noEventID
+	id, empty := noEventID, true
 	if r.started {
 		// Closing the body unblocks a waiting read.
 		body := r.body
@@ -99,10 +99,9 @@
 		chunk, err := r.reader.ReadSlice('\n')
 		eventBytes = append(eventBytes, chunk...)
 		switch {
+		case len(eventBytes) > maxEventBytes:
+			return nil, errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(eventBytes) > maxEventBytes {
-				return nil, errEventTooLong
-			}
 			continue
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(eventBytes)) > 0:
 			return nil, io.ErrUnexpectedEOF
@@ -115,7 +114,10 @@
 				id = n
 			}
 		}
-		if len(line) == 0 && len(bytes.TrimSpace(eventBytes)) > 0 {
+		if len(line) > 0 {
+			empty = false
+		}
+		if len(line) == 0 && !empty {
 			if id <= r.lastID && id != noEventID {
 				return nil, errDuplicateEvent
 			}
