fix(mirror): a node sees by a digest that it holds what the store no longer has

Cause: a list doesn't show objects that came and went since the list before, so the update after it can't name them. A node that had learned of such an object from another and missed its removal counted its copy as complete with it, until it listed by itself; nodes that don't come first never do.

TestObjectThatCameAndWentIsNoticed.

Change: the update after a list carries a digest of the names of all objects. A node whose names differ, and whose copy isn't newer, lists. Joined updates keep the digest of the one with the highest revision.

--- a/edge/encode.go
+++ b/edge/encode.go
@@ -13,7 +13,7 @@
 func encodeUpdates(updates []mirror.Update) *wirepb.StoreNews {
 	out := &wirepb.StoreNews{}
 	for _, update := range updates {
-		kind := &wirepb.KindNews{Kind: update.Kind, At: update.Revision, Previous: update.Previous, Away: update.Unavailable}
+		kind := &wirepb.KindNews{Kind: update.Kind, At: update.Revision, Previous: update.Previous, Away: update.Unavailable, Names: update.Names}
 		for _, c := range update.Changes {
 			kind.Changes = append(kind.Changes, &wirepb.StoreChange{
 				Name: c.Entry.Name, Revision: c.Entry.Revision, Spec: c.Entry.Spec, Removed: c.Removed,
@@ -27,7 +27,9 @@
 func decodeUpdates(in *wirepb.StoreNews) []mirror.Update {
 	var updates []mirror.Update
 	for _, kind := range in.GetKinds() {
-		update := mirror.Update{Kind: kind.GetKind(), Revision: kind.GetAt(), Previous: kind.GetPrevious(), Unavailable: kind.GetAway()}
+		update := mirror.Update{
+			Kind: kind.GetKind(), Revision: kind.GetAt(), Previous: kind.GetPrevious(), Unavailable: kind.GetAway(), Names: kind.GetNames(),
+		}
 		for _, c := range kind.GetChanges() {
 			update.Changes = append(update.Changes, object.Change{
 				Entry:   object.Entry{Name: c.GetName(), Revision: c.GetRevision(), Spec: c.GetSpec()},
--- a/mirror/claim_test.go
+++ b/mirror/claim_test.go
@@ -103,6 +103,7 @@
 		var mirrors [nodes]*Mirror
 		var sent [nodes]*outbox
 		var inbox [nodes][][]Update
+		var listedAt [nodes]uint64
 		start := func(i int) {
 			sent[i] = &outbox{}
 			inbox[i] = nil
@@ -118,10 +119,15 @@
 			},
 			"restart": func(t *rapid.T) { start(node(t)) },
 			"list": func(t *rapid.T) {
-				m := mirrors[node(t)]
+				i := node(t)
+				m := mirrors[i]
 				store.lag = rapid.Uint64Range(0, 4).Draw(t, "lag")
-				if c := m.kinds[kind]; c.listed && !c.stale {
-					store.hide(c.revision)
+				c := m.kinds[kind]
+				if c.listed {
+					store.hide(max(listedAt[i], c.revision))
+					listedAt[i] = store.revision()
+				} else {
+					listedAt[i] = store.revision() - min(store.revision(), store.lag)
 				}
 				m.listKinds(context.Background(), rapid.Bool().Draw(t, "broadcast"))
 			},
@@ -192,6 +198,31 @@
 	}
 }
 
+// TestObjectThatCameAndWentIsNoticed checks that a node which has missed a removal lists,
+// although the node whose update it gets next has never seen the object.
+func TestObjectThatCameAndWentIsNoticed(t *testing.T) {
+	store := &history{hidden: make(map[uint64]bool)}
+	out := &outbox{}
+	lister := New(store, out, time.Second, zap.NewNop(), Kind{Name: kind, Apply: func(object.Change, bool) {}})
+	holder := New(store, &outbox{}, time.Second, zap.NewNop(), Kind{Name: kind, Apply: func(object.Change, bool) {}})
+	store.change("stays", false)
+	for _, m := range []*Mirror{lister, holder} {
+		m.listKinds(t.Context(), true)
+	}
+	store.change("goes", false)
+	holder.Apply([]Update{{Kind: kind, Previous: 1, Revision: 2, Changes: store.since(1)}})
+	store.change("goes", true)
+	lister.listKinds(t.Context(), true)
+	holder.Apply(out.sent[0])
+	check.Equal(t, "missing", holder.kinds[kind].aheadTo > 0, true)
+	holder.listKinds(t.Context(), false)
+	check.Equal(t, "missing after a list", holder.kinds[kind].aheadTo > 0, false)
+	check.Equal(t, "objects", holder.kinds[kind].revisions, map[string]uint64{"stays": 1})
+	lister.listKinds(t.Context(), true)
+	holder.Apply(out.sent[1])
+	check.Equal(t, "missing with the same objects", holder.kinds[kind].aheadTo > 0, false)
+}
+
 func TestMergeKeepsGaps(t *testing.T) {
 	for name, tc := range map[string]struct {
 		earlier, later Update
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,10 +19,13 @@
 import (
 	"context"
 	"errors"
+	"iter"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -85,7 +88,11 @@
 		Previous uint64
 		// Unavailable is true if the store was unavailable shortly before.
 		Unavailable bool
-		Changes     []object.Change
+		// Names is a digest of the names of all objects at Revision, 0 if unknown. A list
+		// does not show objects that came and went since the one before; a node that
+		// holds such an object sees by the digest that it does.
+		Names   uint64
+		Changes []object.Change
 	}
 
 	// Fleet gives a mirror access to its peers.
@@ -131,8 +138,6 @@
 		removals  map[string]uint64
 		// listed is true once the copy is complete, by a list of this node's own.
 		listed bool
-		// stale is true from the first list, which may be seconds old, to the second.
-		stale bool
 	}
 )
 
@@ -164,7 +169,10 @@
 		}
 		merged[i] = Update{
 			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Previous: previous, Unavailable: m.Unavailable || update.Unavailable,
-			Changes: append(changes, update.Changes...),
+			Names: update.Names, Changes: append(changes, update.Changes...),
+		}
+		if m.Revision > update.Revision {
+			merged[i].Names = m.Names
 		}
 	}
 	return merged
@@ -339,8 +347,9 @@
 	m.freshAt = time.Now()
 	previous := c.changedAt
 	applied := c.apply(changes, unavailable)
-	switch {
-	case !c.listed:
+	if c.listed {
+		c.complete(upTo)
+	} else {
 		// The list may be older than its revision says. An empty one shows nothing to
 		// go by.
 		if newest == 0 {
@@ -348,17 +357,20 @@
 		}
 		c.complete(newest)
 		c.changedAt = max(c.changedAt, upTo)
-		c.listed, c.stale = true, true
-	case unavailable || c.stale:
-		// Objects may have come and gone since the last list; peers may hold them.
-		c.complete(upTo)
-		c.changedAt = max(c.changedAt, upTo)
-		c.stale = false
-		previous = c.changedAt
-	default:
-		c.complete(upTo)
+		c.listed = true
 	}
-	return Update{Kind: kind, Revision: upTo, Previous: previous, Unavailable: unavailable, Changes: applied}
+	return Update{
+		Kind: kind, Revision: upTo, Previous: previous, Unavailable: unavailable, Names: digest(maps.Keys(seen)), Changes: applied,
+	}
+}
+
+// digest returns a digest of a set of names.
+func digest(names iter.Seq[string]) uint64 {
+	sum := uint64(0)
+	for name := range names {
+		sum ^= xxhash.Sum64String(name)
+	}
+	return sum
 }
 
 // complete records that the copy is complete up to a revision.
@@ -373,12 +385,17 @@
 // receive records an update that follows a change which may be missing here. It
 // reports whether something is missing.
 func (c *kindCopy) receive(update Update) bool {
-	if update.Previous <= c.revision {
-		c.complete(update.Revision)
-		return false
+	missingUpTo := update.Previous
+	if missingUpTo <= c.revision {
+		comparable := c.listed && c.revision <= update.Revision && update.Names != 0
+		if !comparable || update.Names == digest(maps.Keys(c.revisions)) {
+			c.complete(update.Revision)
+			return false
+		}
+		missingUpTo = update.Revision
 	}
-	if c.aheadTo == 0 || update.Previous > c.aheadTo {
-		c.aheadFrom = update.Previous
+	if c.aheadTo == 0 || missingUpTo > c.aheadTo {
+		c.aheadFrom = missingUpTo
 	}
 	c.aheadTo = max(c.aheadTo, update.Revision)
 	return true
