fix(engine): a stream that never ends is given up, and has no more tokens than requested

Cause: each chunk counted as progress, also one without new tokens, so that a stream of empty or repeated chunks was followed until the deadline; tokens beyond max_tokens were passed on. A head could have ten megabytes, here and at plain services and scorers.

Evidence, before: TestEndlessStreams fails in its three cases (5 s, the test's deadline; 935 tokens for 3 requested), TestEndlessHead (10.6 MB). After: all pass.

Change: only new tokens count as progress, an engine that sends more than was requested is resumed elsewhere, a head has 64 KiB at most.

--- a/engine/client.go
+++ b/engine/client.go
@@ -40,6 +40,7 @@
 	cancelTimeout      = time.Second
 	maxLineBytes       = 1 << 20
 	maxResponseBytes   = 64 << 10
+	maxHeadBytes       = 64 << 10
 )
 
 type (
@@ -154,8 +155,10 @@
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	singleUse := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	singleUse := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{pooled: &http.Client{Transport: pooled}, singleUse: &http.Client{Transport: singleUse}}
 }
 
--- a/engine/relay.go
+++ b/engine/relay.go
@@ -204,15 +204,19 @@
 		if err != nil {
 			return err
 		}
-		timer.Reset(r.progressTimeout)
 		chunk, ok := r.trim(chunk)
 		if !ok {
 			return &OutcomeUnknownError{cause: fmt.Errorf("tokens are missing: got %d, want %d", chunk.First, r.nextToken)}
 		}
-		if len(chunk.Tokens) > 0 || chunk.Done {
-			if err := r.emit(chunk); err != nil {
-				return &EmitError{cause: err}
-			}
+		if len(chunk.Tokens) == 0 && !chunk.Done {
+			continue
+		}
+		if most := r.request.MaxTokens; most > 0 && r.nextToken+len(chunk.Tokens) > most {
+			return &OutcomeUnknownError{cause: fmt.Errorf("the engine sends more than the %d tokens requested", most)}
+		}
+		timer.Reset(r.progressTimeout)
+		if err := r.emit(chunk); err != nil {
+			return &EmitError{cause: err}
 		}
 		r.nextToken += len(chunk.Tokens)
 		r.resumesSinceChunk = 0
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -28,6 +28,7 @@
 	plainIdleConns   = 64
 	plainAttempts    = 3
 	maxResponseBytes = 16 << 20
+	maxHeadBytes     = 64 << 10
 )
 
 type (
@@ -68,6 +69,8 @@
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: plainIdleConns,
 			DisableKeepAlives:   !pooled,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
--- a/sample/score.go
+++ b/sample/score.go
@@ -16,6 +16,7 @@
 
 const (
 	maxScoreBytes = 64 << 10
+	maxHeadBytes  = 64 << 10
 	maxIdleConns  = 64
 )
 
@@ -38,7 +39,7 @@
 )
 
 func newScoreClient() *scoreClient {
-	return &scoreClient{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns}}}
+	return &scoreClient{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // scoreUntilAnswered repeats a scoring request, which is idempotent, until it is
