fix(roster): a host that is gone is named for six seconds at most

Meanwhile edge-amatitlan-1 was killed at 21.2 and back at 21.7: it read the lost host's entry in the store, which nobody removes, took the report for news of the last three seconds, and its list did not count as settled for three seconds either, so that it and its eight hosts named the lost one until 25.3 to 26.5. The class: a report that outlives its host, passed on by a third.

Change: - A report counts from the host's start, not from when it is heard: only a host that has just started is spared when a list that knows better lacks it. - A node that has the list of a settled hub is settled itself. - A parent waits 2.1 s for a hello, and its own failed one is the second proof. - A dead host is remembered from its death on, and for as long as it is registered.

Evidence: TestStoppedHostStaysNamed (24 nodes, a host goes silent, another hub starts again): fails before, the restarted hub names the lost host after 6 s; passes now.

TestAdoptedListSparesNewHosts took a host for new because a report of it had just come; its new host has now just started. The check is the same.

Bound by construction: 2.1 s of silence, 0.8 s to the parent's next round, 0.6 s for its hello, 1.5 s to the next hello of each other host; 1 s more if the parent dies too. 6 s.

Open: nobody removes the entry of a host that is gone from the store.

--- a/roster/hello.go
+++ b/roster/hello.go
@@ -60,7 +60,7 @@
 }
 
 // allHosts returns all remembered hosts, dead ones included, sorted by name. It
-// removes dead ones that were last heard of more than deadRetention ago.
+// removes those that have been dead for longer than deadRetention.
 func (r *Roster) allHosts() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -194,14 +194,32 @@
 	for _, info := range reply.GetHosts() {
 		r.recordReported(fromHostInfo(info))
 	}
-	if len(reply.GetHosts()) > 0 && reply.GetSettled() {
-		r.adoptList(reply)
+	if reply.GetSettled() {
+		r.catchUp(reply.GetFrom().GetName())
+		if len(reply.GetHosts()) > 0 {
+			r.adoptList(reply)
+		}
 	}
 	if r.quarantine != nil {
 		r.quarantine.Merge(reply.GetRefused())
 	}
 }
 
+// catchUp records that this node has the list of a settled node, if that is a hub.
+func (r *Roster) catchUp(from string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.topology().isHub[from] && !r.discoveredAt.IsZero() {
+		r.caughtUp = true
+	}
+}
+
+// settled reports whether this node's list of hosts may replace those of other nodes:
+// it has run for settleTime, or it has caught up. The caller holds the lock.
+func (r *Roster) settled() bool {
+	return r.caughtUp || !r.discoveredAt.IsZero() && time.Since(r.discoveredAt) > settleTime
+}
+
 // adoptList takes over what another node's list says of the hosts that it knows
 // better: a parent's list of all hosts, and a hub's list of those that belong to it.
 func (r *Roster) adoptList(reply *wirepb.HelloReply) {
@@ -244,7 +262,9 @@
 		return false
 	}
 	p.failures++
-	if p.failures < maxHelloFailures && !errors.Is(err, syscall.ECONNREFUSED) {
+	// A host that says hello itself has failed to do so already.
+	missed := r.topology().parents[h.Name] == r.self.Name && time.Since(p.lastHeard) > childSilence
+	if p.failures < maxHelloFailures && !missed && !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
 	r.declareDead(h.Name, err)
@@ -260,7 +280,7 @@
 	if r.topology().isHub[name] || p.host.Leaving {
 		r.statusChangedAt = time.Now()
 	}
-	p.dead = true
+	p.dead, p.lastHeard = true, time.Now()
 	r.invalidate()
 	event.HostDead.Log(r.logger, zap.String("host", name), zap.Int("failures", p.failures), zap.Error(cause))
 }
@@ -276,10 +296,10 @@
 	if r.quarantine != nil {
 		reply.Refused = r.quarantine.ListQuarantined()
 	}
+	reply.Settled = r.settled()
 	if r.digest() == hello.GetDigest() {
 		return reply
 	}
-	reply.Settled = !r.discoveredAt.IsZero() && time.Since(r.discoveredAt) > settleTime
 	for _, p := range r.hosts {
 		if !p.dead {
 			reply.Hosts = append(reply.Hosts, toHostInfo(p.host))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -25,6 +25,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -50,8 +51,8 @@
 	// childHelloInterval is the pause between two hellos of a host to its parent.
 	childHelloInterval = 1400 * time.Millisecond
 	// childSilence is how long a hub waits for a hello of a host that belongs to it
-	// before it sends one itself.
-	childSilence = 2*childHelloInterval + helloTimeout
+	// before it sends one itself. That covers a late hello and a lost packet.
+	childSilence = childHelloInterval*11/10 + helloTimeout
 	// helloJitter is the share by which the pauses between hellos vary, so that hosts
 	// that started together don't stay in step.
 	helloJitter = 0.1
@@ -93,7 +94,8 @@
 
 	// Host describes a node.
 	Host struct {
-		Name        string `json:"name"`
+		Name string `json:"name"`
+		// Incarnation is when the host started, in Unix nanoseconds of its own clock.
 		Incarnation uint64 `json:"incarnation"`
 		Domain      string `json:"domain"`
 		// CallerAddress and PeerAddress are the addresses for callers and for other
@@ -120,6 +122,8 @@
 		// discoveredAt is when the node is expected to have learned of all nodes that
 		// registered before it; zero until it has registered.
 		discoveredAt time.Time
+		// caughtUp is true once the node has what a settled hub knows.
+		caughtUp bool
 		// statusChangedAt is when a host was last found dead or alive again.
 		statusChangedAt time.Time
 		hosts           map[string]*peer
@@ -136,6 +140,8 @@
 		// confirmed is true once the host itself has sent or answered a hello; before,
 		// only the store or another node has reported it.
 		confirmed bool
+		// lastHeard is when the host itself was last heard, or when a dead one was found
+		// dead; of a host that others have reported it is when it started.
 		lastHeard time.Time
 	}
 )
@@ -324,10 +330,21 @@
 			continue
 		}
 		r.recordReported(h)
+		r.keepDead(h)
 	}
 	return nil
 }
 
+// keepDead prolongs the memory of a dead host that is still registered, so that its
+// entry does not bring it back.
+func (r *Roster) keepDead(h Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.hosts[h.Name]; p != nil && p.dead && p.host.Incarnation == h.Incarnation {
+		p.lastHeard = time.Now()
+	}
+}
+
 // recordReported records a host that the store or another node reported. Only the
 // host's own hello confirms it.
 func (r *Roster) recordReported(h Host) {
@@ -340,7 +357,8 @@
 	r.invalidate()
 	switch {
 	case p == nil || p.host.Incarnation < h.Incarnation:
-		r.hosts[h.Name] = &peer{host: h, lastHeard: time.Now()}
+		// A report tells that the host has started, and nothing of later.
+		r.hosts[h.Name] = &peer{host: h, lastHeard: startOf(h, time.Now())}
 	case p.host.Incarnation > h.Incarnation && p.dead:
 		// The host's clock may have been set back before its last start, so the lower
 		// incarnation may be the later one. Only a hello to the reported address shows
@@ -353,6 +371,15 @@
 	}
 }
 
+// startOf returns when a host started by its own clock, at the latest now.
+func startOf(h Host, now time.Time) time.Time {
+	started := time.Unix(0, int64(min(h.Incarnation, math.MaxInt64)))
+	if started.After(now) {
+		return now
+	}
+	return now.Add(started.Sub(now))
+}
+
 // recordHello records a hello, or the answer to one, from the host itself. It returns
 // the host if it has begun to leave.
 func (r *Roster) recordHello(info *wirepb.HostInfo) (leaving Host, ok bool) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -29,6 +29,8 @@
 	done   sync.WaitGroup
 	// hellos counts the hellos that the node has received.
 	hellos atomic.Int64
+	// silent makes the node answer nothing, as if it were without power.
+	silent atomic.Bool
 }
 
 func startNode(t *testing.T, store object.Store, name string, incarnation uint64) *testNode {
--- a/roster/topology_test.go
+++ b/roster/topology_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,6 +111,10 @@
 	ready := make(chan struct{})
 	server, err := peers.Listen("127.0.0.1:0", func(ctx context.Context, call *wirepb.Frame, stream *peers.Stream) {
 		<-ready
+		if n.silent.Load() {
+			<-ctx.Done()
+			return
+		}
 		reply := &wirepb.HelloReply{}
 		switch body := call.GetBody().(type) {
 		case *wirepb.Frame_Hello:
@@ -128,7 +134,7 @@
 		t.Fatal(err)
 	}
 	n.server = server
-	self.Incarnation, self.PeerAddress = 1, server.Address()
+	self.Incarnation, self.PeerAddress = max(1, self.Incarnation), server.Address()
 	n.Roster = New(self, store, n.pool, zap.NewNop())
 	n.OnDead(func(h Host) {
 		send(n.Hubs(), lost(h, false))
@@ -209,11 +215,52 @@
 	})
 }
 
+// maxNamed is for how long the other hosts may name one that is gone.
+const maxNamed = 6 * time.Second
+
+// TestStoppedHostStaysNamed lets a host that is not a hub lose power, and then a hub
+// start again, which finds the lost host's entry in the store. No node may name the lost
+// host for longer than maxNamed, nor name it again.
+func TestStoppedHostStaysNamed(t *testing.T) {
+	const strong, weak = 14, 10
+	store := memory.New()
+	hosts := fleetOf(strong, weak)
+	var nodes []*testNode
+	for _, h := range hosts {
+		nodes = append(nodes, startPassingNode(t, store, h))
+	}
+	awaitAgreement(t, "start", nodes, strong+weak)
+	lost := nodes[strong]
+	lost.silent.Store(true)
+	lost.cancel()
+	lostAt := time.Now()
+	nodes = append(nodes[:strong], nodes[strong+1:]...)
+	// The hub starts again while the others find out.
+	time.Sleep(maxNamed * 2 / 3)
+	parents := newTopology(hosts).parents
+	hub := slices.IndexFunc(hosts[:strong], func(h Host) bool {
+		return h.Name != parents[lost.Self().Name] && slices.Contains(slices.Collect(maps.Values(parents)), h.Name)
+	})
+	nodes[hub].stop()
+	restarted := hosts[hub]
+	restarted.Incarnation = 2
+	nodes[hub] = startPassingNode(t, store, restarted)
+	time.Sleep(time.Until(lostAt.Add(maxNamed)))
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range nodes {
+			if slices.Contains(n.ActiveNames(), lost.Self().Name) {
+				t.Fatalf("%s names the lost host %v after its end", n.Self().Name, time.Since(lostAt))
+			}
+		}
+	}
+}
+
 // TestAdoptedListSparesNewHosts checks that a node which takes over its parent's list
 // keeps the hosts that it has only just learned of, and drops the others that the list
 // lacks: after the end of all processes, hosts come back faster than lists spread.
 func TestAdoptedListSparesNewHosts(t *testing.T) {
 	hosts := fleetOf(14, 30)
+	hosts[20].Incarnation = uint64(time.Now().UnixNano())
 	self := hosts[len(hosts)-1]
 	r := New(self, memory.New(), nil, zap.NewNop())
 	for _, h := range hosts[:len(hosts)-1] {
@@ -233,7 +280,7 @@
 		}
 	}
 	r.adoptList(reply)
-	check.Equal(t, "new host is alive", r.Alive(fresh, 0), true)
+	check.Equal(t, "new host is alive", r.Alive(fresh, hosts[20].Incarnation), true)
 	check.Equal(t, "other host is alive", r.Alive(old, 0), false)
 	check.Equal(t, "listed host is alive", r.Alive(hosts[22].Name, 0), true)
 }
