--- a/batch/run.go
+++ b/batch/run.go
@@ -49,6 +49,7 @@
 	errMixedVersions  = errors.New("endpoint weights differ from those that generated the partial output")
 	errEventGap       = errors.New("event missing or duplicated")
 	errUnsignedStream = errors.New("response is not signed")
+	errTextTooLong    = errors.New("text is too long to be stored")
 )
 
 // scheduleLoop schedules items when it is woken, when the fleet changes, and
@@ -280,7 +281,7 @@
 func (k *Keeper) runItem(ctx context.Context, j *job, i int, r *itemRun) (relay.Reply, error) {
 	it, target := &j.submission.Items[i], r.target
 	k.mu.Lock()
-	last := j.items[i].lastEvent
+	last, textBytes := j.items[i].lastEvent, partial{texts: j.items[i].texts}.bytes()
 	k.mu.Unlock()
 	watchdog := time.AfterFunc(firstEventTimeout, r.cancel)
 	defer watchdog.Stop()
@@ -299,7 +300,7 @@
 	if !answer.Signed {
 		return reply, errUnsignedStream
 	}
-	reader := &streamReader{keeper: k, job: j, item: i, run: r, version: answer.Version, watchdog: watchdog}
+	reader := &streamReader{keeper: k, job: j, item: i, run: r, version: answer.Version, textBytes: textBytes, watchdog: watchdog}
 	if err := reader.checkVersion(answer.Version); err != nil {
 		return reply, err
 	}
@@ -308,11 +309,13 @@
 
 // streamReader is the state of reading one stream.
 type streamReader struct {
-	keeper      *Keeper
-	job         *job
-	item        int
-	run         *itemRun
-	version     int
+	keeper  *Keeper
+	job     *job
+	item    int
+	run     *itemRun
+	version int
+	// textBytes is the size of the item's text.
+	textBytes   int
 	lastEventAt time.Time
 	watchdog    *time.Timer
 }
@@ -359,6 +362,10 @@
 		k.deps.Fleet.RecordEventInterval(r.run.target.ID(), now.Sub(r.lastEventAt))
 	}
 	r.lastEventAt = now
+	if r.textBytes += len(e.Data); r.textBytes > k.maxTextBytes() {
+		state.discardOutput()
+		return errTextTooLong
+	}
 	state.lastEvent = e.ID
 	state.texts = append(state.texts, e.Data)
 	if r.version != 0 && !slices.Contains(state.versions, r.version) {
