--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -127,7 +127,6 @@
 // versionedEngine answers with the weight version of its endpoint. It crashes after
 // the first event of the first run.
 type versionedEngine struct {
-	instantEngine
 	mu      sync.Mutex
 	runs    int
 	crashed chan struct{}
