fix(roster): a silent host gets a second hello, and a list that lags brings nobody back

Cause: let one unanswered hello decide over a host that had missed its own, which a starved process does easily. And a host that was found dead came back by the list of a hub that had not found the death yet; a hub that comes back so may not be asked again.

--- a/roster/hello.go
+++ b/roster/hello.go
@@ -178,13 +178,17 @@
 }
 
 func (r *Roster) helloTo(ctx context.Context, h Host, call *wirepb.Frame, announce bool) {
-	limited, cancel := context.WithTimeout(ctx, helloTimeout)
-	defer cancel()
-	frame, err := r.pool.Do(limited, h.PeerAddress, call)
+	frame, err := r.sendHello(ctx, h, call)
+	died := err != nil && ctx.Err() == nil && r.recordFailure(h, err)
+	if err != nil && !died && r.isSilentChild(h) {
+		// The host has missed its own hello too, so the second try does not wait.
+		frame, err = r.sendHello(ctx, h, call)
+		died = err != nil && ctx.Err() == nil && r.recordFailure(h, err)
+	}
+	if died && announce && r.onDead != nil {
+		go r.onDead(h)
+	}
 	if err != nil {
-		if ctx.Err() == nil && r.recordFailure(h, err) && announce && r.onDead != nil {
-			go r.onDead(h)
-		}
 		return
 	}
 	reply := frame.GetHelloReply()
@@ -205,6 +209,21 @@
 	}
 }
 
+func (r *Roster) sendHello(ctx context.Context, h Host, call *wirepb.Frame) (*wirepb.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	return r.pool.Do(ctx, h.PeerAddress, call)
+}
+
+// isSilentChild reports whether the host belongs to this hub and has not said hello in
+// time.
+func (r *Roster) isSilentChild(h Host) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.hosts[h.Name]
+	return p != nil && !p.dead && r.topology().parents[h.Name] == r.self.Name && time.Since(p.lastHeard) > childSilence
+}
+
 // catchUp records that this node has the list of a settled node, if that is a hub.
 func (r *Roster) catchUp(from string) {
 	r.mu.Lock()
@@ -241,7 +260,8 @@
 		}
 		incarnation, ok := listed[name]
 		switch {
-		case ok && p.dead && p.host.Incarnation == incarnation:
+		case ok && p.dead && p.host.Incarnation == incarnation && time.Since(p.lastHeard) > settleTime:
+			// Before that, the other node may not have found the death yet.
 			p.dead, p.failures = false, 0
 			r.invalidate()
 		case !ok && !p.dead && !p.host.Leaving && time.Since(p.lastHeard) > settleTime:
@@ -262,9 +282,7 @@
 		return false
 	}
 	p.failures++
-	// A host that says hello itself has failed to do so already.
-	missed := r.topology().parents[h.Name] == r.self.Name && time.Since(p.lastHeard) > childSilence
-	if p.failures < maxHelloFailures && !missed && !errors.Is(err, syscall.ECONNREFUSED) {
+	if p.failures < maxHelloFailures && !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
 	r.declareDead(h.Name, err)
