--- a/mirror/claim_test.go
+++ b/mirror/claim_test.go
@@ -134,7 +134,7 @@
 			"watch": func(t *rapid.T) {
 				i := node(t)
 				if !mirrors[i].Listed(kind) {
-					t.Skip("watches begin after a list")
+					return
 				}
 				if update := mirrors[i].applyWatch(kind, store.since(mirrors[i].kinds[kind].revision), store.revision()); len(update.Changes) > 0 {
 					sent[i].Broadcast([]Update{update})
@@ -143,7 +143,7 @@
 			"deliver": func(t *rapid.T) {
 				i := node(t)
 				if len(inbox[i]) == 0 {
-					t.Skip("no update")
+					return
 				}
 				n := rapid.IntRange(0, len(inbox[i])-1).Draw(t, "update")
 				mirrors[i].Apply(inbox[i][n])
@@ -152,14 +152,14 @@
 			"lose": func(t *rapid.T) {
 				i := node(t)
 				if len(inbox[i]) == 0 {
-					t.Skip("no update")
+					return
 				}
 				inbox[i] = inbox[i][1:]
 			},
 			"merge": func(t *rapid.T) {
 				i := node(t)
 				if len(inbox[i]) < 2 {
-					t.Skip("fewer than two updates")
+					return
 				}
 				inbox[i] = append([][]Update{Merge(inbox[i][0], inbox[i][1])}, inbox[i][2:]...)
 			},
