feat(quota): the limits that endpoints name are recorded, logged and dumped

Nothing in logs or metrics named a limit. Every answer of an endpoint (requests, items, reward calls, reports, orders) is now searched for the header; a change is logged (event 507), and `dump` lists the limits with what was sent since. Nothing is held back yet.

A less strict limit counts only in the answer to a request that was sent after the stricter one was last named, since answers may be delayed. A malformed value is logged and skipped; of several the strictest counts.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -13,6 +13,7 @@
 	"github.com/currantloft/currantloft/entry"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/orders"
+	"github.com/currantloft/currantloft/quota"
 )
 
 type (
@@ -31,6 +32,8 @@
 		Children []string `json:"children"`
 		// Endpoints are the endpoints in the node's fleet.
 		Endpoints []fleet.State `json:"endpoints"`
+		// Limits are the request rates that endpoints allow.
+		Limits []quota.Status `json:"limits"`
 		// Batches are the batches that the node owns.
 		Batches []batch.JobState `json:"batches"`
 		// Orders is the state of the orders to load weight versions.
@@ -113,6 +116,7 @@
 	return State{
 		Hub: e.roster.IsHub(), Children: children,
 		Status: e.status(), Leaving: e.leaving.Load(), LeaderRank: rank, Endpoints: e.fleet.All(),
+		Limits:  e.fleet.Limits().Dump(),
 		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(),
 		Store:       StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
 		Quarantined: len(e.suspects.ledger.ListQuarantined()), Dials: e.sender.Dials(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -106,9 +106,10 @@
 		fleet: fleet.New(time.Now),
 	}
 	e.settings.Store(settings)
+	e.fleet.Limits().OnChange(e.limitChanged)
 	e.pool.Observe(countCalls(e.meter.Scope()))
 	e.store = platform.NewStore(settings.StoreAddress(), e.meter.Scope(), logger)
-	e.sender = platform.NewSender(e.fleet)
+	e.sender = platform.NewSender(e.fleet, logger)
 	self := roster.Host{
 		Name: settings.Name(), Incarnation: uint64(time.Now().UnixNano()), Domain: settings.Domain(),
 		CallerAddress: settings.CallerAddress(), PeerAddress: settings.PeerAddress(), Power: uint32(settings.CPUQuota() * milliPerCore),
--- a/event/event.go
+++ b/event/event.go
@@ -61,6 +61,9 @@
 	OrderFenced     = define(505, "order_fenced", zapcore.WarnLevel)
 	FenceTaken      = define(506, "fence_taken", zapcore.InfoLevel)
 
+	EndpointLimitChanged  = define(507, "endpoint_limit_changed", zapcore.WarnLevel)
+	EndpointLimitRejected = define(508, "endpoint_limit_rejected", zapcore.WarnLevel)
+
 	StepOpened       = define(600, "step_opened", zapcore.InfoLevel)
 	StepSealed       = define(601, "step_sealed", zapcore.InfoLevel)
 	StepDelivered    = define(602, "step_delivered", zapcore.InfoLevel)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"github.com/currantloft/currantloft/quota"
 )
 
 const (
@@ -108,6 +110,7 @@
 		endpoints map[string]*endpoint
 		now       func() time.Time
 		changed   chan struct{}
+		limits    *quota.Book
 	}
 
 	endpoint struct {
@@ -131,9 +134,13 @@
 
 // New returns an empty fleet with the given clock.
 func New(now func() time.Time) *Fleet {
-	return &Fleet{endpoints: make(map[string]*endpoint), now: now, changed: make(chan struct{})}
+	return &Fleet{endpoints: make(map[string]*endpoint), now: now, changed: make(chan struct{}), limits: quota.NewBook(now, nil)}
 }
 
+// Limits returns the request rates that endpoints allow. They outlive the endpoints'
+// entries.
+func (f *Fleet) Limits() *quota.Book { return f.limits }
+
 // ID returns the endpoint's id.
 func (t Target) ID() string { return t.id }
 
