fix(roster): a host that starts gets the limits with its first hello

TestStartedHostDoesNotKnowLimits failed on and on, for two reasons. The second is a fault: limits came only with a list of hosts, and a host that starts has the same list as the others, since it reads the store first. Now a caller says whether it is settled, and gets the limits until it is.

--- a/roster/hello.go
+++ b/roster/hello.go
@@ -162,7 +162,7 @@
 // finds is to be reported to the other nodes.
 func (r *Roster) hello(ctx context.Context, hosts []Host, announce bool) {
 	r.mu.Lock()
-	call := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: toHostInfo(r.self), Digest: r.digest()}}}
+	call := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: toHostInfo(r.self), Digest: r.digest(), Settled: r.settled()}}}
 	r.mu.Unlock()
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentHellos)
@@ -318,7 +318,11 @@
 		reply.Refused = r.quarantine.ListQuarantined()
 	}
 	reply.Settled = r.settled()
-	if r.digest() == hello.GetDigest() {
+	sameHosts := r.digest() == hello.GetDigest()
+	if r.limits != nil && (!sameHosts || !hello.GetSettled()) {
+		reply.Limits = r.limits.ListLimits()
+	}
+	if sameHosts {
 		return reply
 	}
 	for _, p := range r.hosts {
@@ -326,9 +330,6 @@
 			reply.Hosts = append(reply.Hosts, toHostInfo(p.host))
 		}
 	}
-	if r.limits != nil {
-		reply.Limits = r.limits.ListLimits()
-	}
 	return reply
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -92,8 +92,8 @@
 		Merge(refused []*wirepb.Suspect)
 	}
 
-	// Limits holds the endpoints' limits that the node knows. Answers to hellos that
-	// carry hosts carry them too.
+	// Limits holds the endpoints' limits that the node knows. Answers to hellos of nodes
+	// that start or were cut off carry them.
 	Limits interface {
 		// ListLimits returns the limits that the node knows.
 		ListLimits() []*wirepb.EndpointLimit
