feat(fleet): the software version of endpoints is known and logged

The entry's `version` was not decoded. It is now part of the fleet and of each target, and stands in the log lines of changed entries, resumed streams and failed runs of items. A version belongs to its service; an endpoint that states none counts as a version of its own at each start. Nothing decides by it yet.

--- a/batch/run.go
+++ b/batch/run.go
@@ -430,7 +430,7 @@
 	state.failures++
 	state.notBefore = time.Now().Add(min(maxFailureBackoff, failureBackoff*time.Duration(state.failures)))
 	event.ItemRunFailed.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
-		zap.String("endpoint", target.ID()), zap.Int("events", len(state.texts)),
+		zap.String("endpoint", target.ID()), zap.String("software", string(target.Software())), zap.Int("events", len(state.texts)),
 		zap.Bool("stalled", ctx.Err() != nil), zap.Error(err))
 	k.deps.Scope.Counter("item_failures").Inc(1)
 	answer, ok := reply.(relay.Answer)
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -67,7 +67,8 @@
 		return
 	}
 	if e.fleet.Put(endpoint) {
-		event.EndpointEntryChanged.Log(e.logger, zap.String("endpoint", endpoint.ID), zap.Bool("draining", endpoint.Draining),
+		event.EndpointEntryChanged.Log(e.logger, zap.String("endpoint", endpoint.ID), zap.String("service", endpoint.Service),
+			zap.String("software", endpoint.SoftwareVersion), zap.Bool("draining", endpoint.Draining),
 			zap.Any("versions", endpoint.Versions), zap.Uint64("revision", change.Entry.Revision))
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -70,12 +71,19 @@
 		Address   string
 		Domain    string
 		Slots     int
+		// SoftwareVersion is the version of the endpoint's software, empty if unknown.
+		SoftwareVersion string
 		// Draining endpoints get no new requests.
 		Draining bool
 		// Versions holds the weight version of each model, empty for plain services.
 		Versions map[string]int
 	}
 
+	// Software identifies the software that wrote the events of a stream. Only endpoints
+	// with the same one may continue the stream. The empty value is not known; nothing
+	// continues it.
+	Software string
+
 	// Load is an endpoint's report of its queue.
 	Load struct {
 		Running, Waiting, Slots int
@@ -84,6 +92,7 @@
 	// Target is one endpoint to send requests to.
 	Target struct {
 		id, address, domain string
+		software            Software
 	}
 
 	// State is a snapshot of one endpoint, the input for selecting an endpoint.
@@ -154,11 +163,26 @@
 // Domain returns the endpoint's failure domain.
 func (t Target) Domain() string { return t.domain }
 
+// Software returns the endpoint's software.
+func (t Target) Software() Software { return t.software }
+
 // NewTarget returns a target.
 func NewTarget(id, address, domain string) Target {
 	return Target{id: id, address: address, domain: domain}
 }
 
+// Software returns the endpoint's software: its service with the version. An endpoint
+// that states no version has the same software as itself only.
+func (e Entry) Software() Software {
+	if e.SoftwareVersion == "" {
+		return Software(e.Service + "/?" + e.ID + "/" + strconv.FormatInt(e.StartedMs, 10))
+	}
+	return Software(e.Service + "/" + e.SoftwareVersion)
+}
+
+// Continues reports whether this software may continue what another one wrote.
+func (s Software) Continues(written Software) bool { return s != "" && s == written }
+
 // Changed returns a channel that is closed at the next change of an entry.
 func (f *Fleet) Changed() <-chan struct{} {
 	f.mu.Lock()
@@ -379,7 +403,7 @@
 
 // Target returns the endpoint's target.
 func (s State) Target() Target {
-	return Target{id: s.Entry.ID, address: s.Entry.Address, domain: s.Entry.Domain}
+	return Target{id: s.Entry.ID, address: s.Entry.Address, domain: s.Entry.Domain, software: s.Entry.Software()}
 }
 
 // Exhausted reports whether the endpoint limits requests and this node has no permit.
@@ -398,7 +422,7 @@
 
 func sameEntry(a, b Entry) bool {
 	if a.StartedMs != b.StartedMs || a.Service != b.Service || a.Address != b.Address || a.Domain != b.Domain ||
-		a.Slots != b.Slots || a.Draining != b.Draining || len(a.Versions) != len(b.Versions) {
+		a.Slots != b.Slots || a.SoftwareVersion != b.SoftwareVersion || a.Draining != b.Draining || len(a.Versions) != len(b.Versions) {
 		return false
 	}
 	for model, version := range a.Versions {
--- /dev/null
+++ b/integ/order_test.go
@@ -0,0 +1,224 @@
+package integ
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/currantloft/currantloft/platform/fake"
+)
+
+// minResumedShare is the users' bound: of the streams that callers resume, at least
+// half of the share of new ones that begin must go on.
+const minResumedShare = 0.5
+
+// pieces are the events that a caller has of one stream, and the software versions that
+// wrote them.
+type pieces struct {
+	next     int
+	software map[string]bool
+}
+
+// newMarkedSite starts a site with two engines of each of two software versions, which
+// mark their events, in place of its engines.
+func newMarkedSite(t *testing.T, hosts int) *site {
+	s := newSite(t, hosts, siteTimeout)
+	for _, e := range s.engines {
+		e.Close()
+		s.removeEndpoint(e)
+	}
+	s.engines = nil
+	for i, software := range []string{"v1", "v1", "v2", "v2"} {
+		s.engines = append(s.engines, s.startEndpoint(fake.EngineOptions{
+			ID: fmt.Sprintf("m%d", i), Service: enginePool, Models: []string{testModel}, Slots: 16,
+			EventInterval: 60 * time.Millisecond, LoadTime: 50 * time.Millisecond, Software: software, Mark: true,
+		}))
+	}
+	s.eventually("streams are served", func() bool {
+		status, _ := s.send(http.MethodPost, s.hosts[0].callerAddress, streamPath+"x", "first", []byte("x"))
+		return status == http.StatusOK
+	})
+	return s
+}
+
+// removeEndpoint removes an endpoint's entry.
+func (s *site) removeEndpoint(e *fake.Engine) {
+	s.t.Helper()
+	if err := e.Deregister(); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// add adds an event to the pieces and checks that it is the next one and that all come
+// from one software version.
+func (p *pieces) add(t testing.TB, id, data string) {
+	t.Helper()
+	event, software := fake.SplitMark(data)
+	if want := fake.Event(id, p.next); event != want {
+		t.Errorf("stream %s goes on with event %q, want %q", id, event, want)
+	}
+	p.next++
+	if p.software[software] {
+		return
+	}
+	p.software[software] = true
+	if len(p.software) > 1 {
+		t.Errorf("stream %s holds events of %d software versions", id, len(p.software))
+	}
+}
+
+// stream makes one attempt at a stream and adds its events to the pieces. It returns
+// the status, 0 for none. First names the attempt that brought the first event; onEvent
+// is called after each event.
+func (s *site) stream(h *host, attempt, first string, p *pieces, onEvent func()) int {
+	ctx, cancel := context.WithTimeout(s.ctx, 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callerAddress+streamPath+"x", bytes.NewReader([]byte("x")))
+	if err != nil {
+		s.t.Error(err)
+		return 0
+	}
+	request.Host = routeHostname
+	request.Header.Set("Attempt-Id", attempt)
+	request.Header.Set("Deadline-Ms", "4000")
+	if p.next > 0 {
+		request.Header.Set("Last-Event-Id", strconv.Itoa(p.next-1))
+		request.Header.Set("Resumes", first)
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode
+	}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			p.add(s.t, first, data)
+			onEvent()
+		}
+	}
+	return response.StatusCode
+}
+
+// TestItemsOverTwoSoftwareVersions breaks the streams of items while engines of two
+// software versions serve side by side, and kills the keeper: each text must come from
+// one version.
+func TestItemsOverTwoSoftwareVersions(t *testing.T) {
+	s := newMarkedSite(t, 3)
+	for _, e := range s.engines {
+		e.BreakAfter(1)
+	}
+	const groups = 8
+	for n := range 3 {
+		id := fmt.Sprint("b", n)
+		s.submitUntilAccepted(id, newBatchBody(id, groups, 1))
+	}
+	time.Sleep(150 * time.Millisecond)
+	s.kill(s.hosts[1])
+	s.start(s.hosts[1])
+	for n := range 3 {
+		s.checkMarkedBatch(fmt.Sprint("b", n), 3*groups)
+	}
+	resumed := 0
+	for _, e := range s.engines {
+		for _, run := range e.Runs() {
+			if run.After >= 0 && !strings.HasPrefix(run.ID, "first") {
+				resumed++
+			}
+		}
+	}
+	if resumed == 0 {
+		t.Error("no item was resumed after the events already received")
+	}
+}
+
+// checkMarkedBatch reads a batch to its end and checks that each text is complete and
+// comes from one software version.
+func (s *site) checkMarkedBatch(id string, total int) {
+	s.t.Helper()
+	n, after := 0, 0
+	s.eventually("batch "+id+" is complete", func() bool {
+		n++
+		page, status := s.readResults(s.hosts[n%len(s.hosts)], id, after)
+		if status != http.StatusOK {
+			return false
+		}
+		for _, r := range page.Results {
+			p := &pieces{software: make(map[string]bool)}
+			for _, data := range strings.Split(r.Text, "\n") {
+				p.add(s.t, r.ID, data)
+			}
+			if p.next != fake.EventCount(r.ID) || r.State != "completed" {
+				s.t.Errorf("item %s is %s with %d events, want %d", r.ID, r.State, p.next, fake.EventCount(r.ID))
+			}
+		}
+		after += len(page.Results)
+		return after == total
+	})
+}
+
+// TestStreamOverTwoSoftwareVersions breaks the engines' streams after each event: the
+// stream goes on within one response, at engines of one version.
+func TestStreamOverTwoSoftwareVersions(t *testing.T) {
+	s := newMarkedSite(t, 2)
+	for _, e := range s.engines {
+		e.BreakAfter(1)
+	}
+	for i := range 8 {
+		id, p := fmt.Sprint("talk-", i), &pieces{software: make(map[string]bool)}
+		checkStatus(t, "a stream", s.stream(s.hosts[i%2], id, id, p, func() {}), http.StatusOK)
+	}
+}
+
+// TestResumedStreamOverTwoSoftwareVersions kills hosts in the middle of streams: their
+// callers resume them at another host, which must go on at the version that began each.
+func TestResumedStreamOverTwoSoftwareVersions(t *testing.T) {
+	s := newMarkedSite(t, 4)
+	const streams = 24
+	var tasks sync.WaitGroup
+	var resumed, complete atomic.Int64
+	began := make(chan struct{}, 64*streams)
+	for i := range streams {
+		tasks.Go(func() {
+			id, p := fmt.Sprint("talk-", i), &pieces{software: make(map[string]bool)}
+			s.stream(s.hosts[i%2], id, id, p, func() { began <- struct{}{} })
+			if p.next == 0 || p.next == fake.EventCount(id) {
+				return
+			}
+			resumed.Add(1)
+			for n := range 5 {
+				if p.next == fake.EventCount(id) {
+					break
+				}
+				s.stream(s.hosts[2+(i+n)%2], fmt.Sprint(id, "-again-", n), id, p, func() {})
+				time.Sleep(100 * time.Millisecond)
+			}
+			if p.next == fake.EventCount(id) {
+				complete.Add(1)
+			}
+		})
+	}
+	for range streams {
+		<-began
+	}
+	s.kill(s.hosts[0])
+	s.kill(s.hosts[1])
+	tasks.Wait()
+	if resumed.Load() == 0 {
+		t.Fatal("no stream broke off")
+	}
+	if share := float64(complete.Load()) / float64(resumed.Load()); share < minResumedShare {
+		t.Errorf("%d of %d resumed streams went on, want at least %.0f %%", complete.Load(), resumed.Load(), 100*minResumedShare)
+	}
+}
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -160,7 +160,8 @@
 			r.body, r.started = answer.Body, false
 			r.reader.Reset(answer.Body)
 			event.StreamResumed.Log(active.logger, zap.String("request", active.request.ID), zap.String("from", lostEndpoint),
-				zap.String("endpoint", result.target.ID()), zap.Int("after", r.lastID), zap.Error(cause))
+				zap.String("endpoint", result.target.ID()), zap.String("software", string(result.target.Software())),
+				zap.Int("after", r.lastID), zap.Error(cause))
 			return nil
 		}
 		if ok && answer.Body != nil {
