fix(batch): an item's text comes from one software version

What callers would see: a text whose events come from two software versions of the engines, which don't fit together.

Cause: partial output did not say who wrote it, and went on at any endpoint: after failures and moves, at the next keeper (backups, checkpoints), in the trainer's next batch. Class: state that outlives its run without what it was made under; weight versions had that, the software had not.

Change: an item's partial output bears the software that wrote it, in memory, backups, checkpoints and the cache. Only endpoints with the same software may continue it; output of unknown software (an older release's) is dropped, unless it is complete. A backup's next piece is not joined to another software's. An item whose endpoints are gone, down or take no requests waits as long as generating it anew takes, 0.5 to 2.5 s, and then starts anew elsewhere.

--- a/batch/checkpoint.go
+++ b/batch/checkpoint.go
@@ -85,7 +85,7 @@
 		}
 		list = append(list, PartialOutput{
 			Item: j.submission.Items[i].ID, Texts: state.texts[:len(state.texts):len(state.texts)], LastEvent: state.lastEvent,
-			Versions: append([]int(nil), state.versions...),
+			Versions: append([]int(nil), state.versions...), Software: state.software,
 		})
 	}
 	for _, complete := range j.completeTexts() {
@@ -104,8 +104,8 @@
 }
 
 // writeCheckpoint stores a batch's checkpoint. Replace reports that there is
-// one already. Writes may take effect in any order, since the texts of each
-// item are always a prefix of its final output.
+// one already. Writes may take effect in any order: the texts of each item come from one
+// software version, and are a prefix of the output unless the item was started anew.
 func (k *Keeper) writeCheckpoint(ctx context.Context, id string, list []PartialOutput, replace bool) error {
 	spec, err := json.Marshal(list)
 	if err != nil {
--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -210,3 +210,40 @@
 		})
 	}
 }
+
+// TestItemWaitsForItsSoftware checks how long partial output waits for an endpoint that
+// may continue it before the item is generated anew.
+func TestItemWaitsForItsSoftware(t *testing.T) {
+	entry := func(software string) fleet.Entry {
+		return fleet.Entry{
+			ID: "e", Service: "pool", SoftwareVersion: software, Slots: 1, Versions: map[string]int{testModel: 3},
+		}
+	}
+	const second = time.Second
+	for name, tc := range map[string]struct {
+		states       []fleet.State
+		regeneration time.Duration
+		restarts     int
+		want         time.Duration
+		stuck        bool
+	}{
+		"served":                        {[]fleet.State{{Entry: entry("v1")}, {Entry: entry("v2")}}, second, 0, 0, false},
+		"its version is gone":           {[]fleet.State{{Entry: entry("v2")}}, second, 0, minRestartDelay, true},
+		"its version has crashed":       {[]fleet.State{{Entry: entry("v1"), Paused: true}, {Entry: entry("v2")}}, second, 0, second, true},
+		"its version has crashed, long": {[]fleet.State{{Entry: entry("v1"), Paused: true}, {Entry: entry("v2")}}, 9 * second, 0, maxRestartDelay, true},
+		"its version is full, short":    {[]fleet.State{{Entry: entry("v1"), OwnInFlight: 1}, {Entry: entry("v2")}}, 0, 0, minRestartDelay, true},
+		"its version takes no requests": {[]fleet.State{{Entry: entry("v1"), Limited: true}, {Entry: entry("v2")}}, second, 0, second, true},
+		"all are full":                  {[]fleet.State{{Entry: entry("v1"), OwnInFlight: 1}, {Entry: entry("v2"), OwnInFlight: 1}}, second, 0, 0, false},
+		"its version is not stated":     {[]fleet.State{{Entry: entry("")}, {Entry: entry("v2")}}, second, 0, minRestartDelay, true},
+		"no endpoint":                   {nil, second, 0, 0, false},
+		"after a restart":               {[]fleet.State{{Entry: entry("v1"), Paused: true}, {Entry: entry("v2")}}, 0, 1, second, true},
+		"after many restarts":           {[]fleet.State{{Entry: entry("v1"), Paused: true}, {Entry: entry("v2")}}, 0, 9, maxRestartDelay, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := WaitingItem{Model: testModel, MinVersion: 2, Software: "pool/v1"}
+			got, stuck := w.restartDelay(tc.states, tc.regeneration, tc.restarts)
+			check.Equal(t, "stuck", stuck, tc.stuck)
+			check.Equal(t, "delay", got, tc.want)
+		})
+	}
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -86,9 +86,13 @@
 		failures      int
 		avoidEndpoint string
 		notBefore     time.Time
-		// versionMissingSince is since when no endpoint can continue the partial output
-		// with its only version, zero while one can.
-		versionMissingSince time.Time
+		// software wrote the texts; only the same one may continue them.
+		software fleet.Software
+		// stuckSince is since when no endpoint continues the partial output, zero while one
+		// can.
+		stuckSince time.Time
+		// restarts counts how often partial output was discarded for that reason.
+		restarts int
 		// reward is the state of the item's reward call once its text is complete, nil
 		// before and for an item without such a call.
 		reward *rewardState
@@ -116,7 +120,7 @@
 
 // discardOutput discards the partial output, so that the item starts anew.
 func (s *itemState) discardOutput() {
-	s.texts, s.versions, s.lastEvent = nil, nil, -1
+	s.texts, s.versions, s.lastEvent, s.software, s.stuckSince = nil, nil, -1, "", time.Time{}
 }
 
 // due returns when the batch's results are due.
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/rendez"
 )
 
@@ -38,6 +39,8 @@
 		texts     []string
 		lastEvent int
 		versions  []int
+		// software wrote the texts, empty if that is not known.
+		software fleet.Software
 		// complete reports that nothing is left to generate.
 		complete bool
 		// score is the score of a complete text, empty if there is none yet, and
@@ -55,7 +58,9 @@
 		Texts     []string `json:"texts"`
 		LastEvent int      `json:"last"`
 		Versions  []int    `json:"versions"`
-		Complete  bool     `json:"whole,omitempty"`
+		// Software wrote the texts. Older releases don't state it.
+		Software fleet.Software `json:"software,omitempty"`
+		Complete bool           `json:"whole,omitempty"`
 		// Score is the score of a complete text, empty if there is none yet, and
 		// RewardID the ID of the reward call that it answers.
 		Score    string `json:"score,omitempty"`
@@ -88,15 +93,17 @@
 }
 
 // pop removes and returns the partial output of an item. It reports false if
-// there is none, if it has expired, or if its weight versions are unknown, too
-// old or mixed although the item must have a single one.
+// there is none, if it has expired, if its weight versions are unknown, too
+// old or mixed although the item must have a single one, or if it is incomplete and
+// not known who wrote it.
 func (c *partialCache) pop(item string, minVersion int, single bool, now time.Time) (partial, bool) {
 	p, ok := c.items[item]
 	if !ok {
 		return partial{}, false
 	}
 	c.drop(item)
-	if now.Sub(p.savedAt) > partialTTL || len(p.versions) == 0 || (single && len(p.versions) > 1) {
+	if now.Sub(p.savedAt) > partialTTL || len(p.versions) == 0 || (single && len(p.versions) > 1) ||
+		!p.complete && p.software == "" {
 		return partial{}, false
 	}
 	for _, version := range p.versions {
@@ -132,7 +139,7 @@
 		texts := r.Texts
 		if r.Offset > 0 {
 			current, ok := k.partials.items[r.Item]
-			if !ok || len(current.texts) != r.Offset {
+			if !ok || len(current.texts) != r.Offset || current.software != r.Software {
 				allStored = false
 				continue
 			}
@@ -145,7 +152,7 @@
 
 func (r PartialOutput) toPartial(texts []string, savedAt time.Time) partial {
 	return partial{
-		texts: texts, lastEvent: r.LastEvent, versions: r.Versions, complete: r.Complete,
+		texts: texts, lastEvent: r.LastEvent, versions: r.Versions, software: r.Software, complete: r.Complete,
 		score: r.Score, rewardID: r.RewardID, savedAt: savedAt,
 	}
 }
@@ -216,7 +223,7 @@
 		}
 		list = append(list, PartialOutput{
 			Item: it.ID, Offset: sent, Texts: append([]string(nil), state.texts[sent:]...), LastEvent: state.lastEvent,
-			Versions: append([]int(nil), state.versions...),
+			Versions: append([]int(nil), state.versions...), Software: state.software,
 		})
 		j.backedUp[it.ID] = len(state.texts)
 	}
@@ -281,7 +288,8 @@
 			})
 		} else if len(state.texts) > 0 {
 			k.partials.put(it.ID, partial{
-				texts: state.texts, lastEvent: state.lastEvent, versions: state.versions, complete: state.reward != nil, savedAt: now,
+				texts: state.texts, lastEvent: state.lastEvent, versions: state.versions, software: state.software,
+				complete: state.reward != nil, savedAt: now,
 			})
 		}
 	}
@@ -306,7 +314,8 @@
 			}
 			complete++
 		default:
-			j.items[i].texts, j.items[i].lastEvent, j.items[i].versions = p.texts, p.lastEvent, p.versions
+			state := &j.items[i]
+			state.texts, state.lastEvent, state.versions, state.software = p.texts, p.lastEvent, p.versions, p.software
 			resumed++
 		}
 	}
--- a/batch/plan.go
+++ b/batch/plan.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -74,6 +75,9 @@
 		// PinnedVersion is the one weight version that may continue the item, 0 for
 		// any.
 		PinnedVersion int
+		// Software wrote the partial output and is the only one that may continue it;
+		// empty without partial output.
+		Software fleet.Software
 		// Events is the estimated number of events left to generate.
 		Events int
 		// Tokens is the estimated engine memory that the item takes at its end, in
@@ -312,14 +316,22 @@
 	}
 }
 
-// versionUnavailable reports whether no endpoint can continue the item with its
-// pinned version, while one can generate it anew with another version.
+// anew returns the item without its partial output.
+func (w WaitingItem) anew() WaitingItem {
+	w.PinnedVersion, w.Software = 0, ""
+	return w
+}
+
+// pinned reports whether the item's partial output limits the endpoints that may
+// continue it.
+func (w WaitingItem) pinned() bool { return w.PinnedVersion != 0 || w.Software != "" }
+
+// versionUnavailable reports whether no endpoint can continue the item's partial output,
+// while one can generate it anew.
 func (w WaitingItem) versionUnavailable(states []fleet.State) bool {
-	if w.PinnedVersion == 0 {
+	if !w.pinned() {
 		return false
 	}
-	anew := w
-	anew.PinnedVersion = 0
 	other := false
 	for _, state := range states {
 		if state.Paused {
@@ -328,17 +340,59 @@
 		if versionFits(w, state) {
 			return false
 		}
-		other = other || versionFits(anew, state)
+		other = other || versionFits(w.anew(), state)
+	}
+	return other
+}
+
+// crowdedOut reports whether the endpoints that can continue the item's partial output
+// take no requests now, while another one could start it anew.
+func (w WaitingItem) crowdedOut(states []fleet.State) bool {
+	if !w.pinned() {
+		return false
+	}
+	other := false
+	for _, state := range states {
+		if state.Paused || state.Full || state.Exhausted() || state.Busy() >= state.Entry.Slots {
+			continue
+		}
+		if versionFits(w, state) {
+			return false
+		}
+		other = other || versionFits(w.anew(), state)
 	}
 	return other
 }
 
-// versionFits reports whether an endpoint's weights may generate the item's
+// restartDelay returns how long the item waits for an endpoint that can continue its
+// partial output before it is generated anew, which takes as long as regeneration. The
+// delay doubles with each restart, so that an item whose endpoints fail often gets on. It
+// returns false if the item has no partial output or need not wait, or if no other
+// endpoint can start it.
+func (w WaitingItem) restartDelay(states []fleet.State, regeneration time.Duration, restarts int) (time.Duration, bool) {
+	known := slices.ContainsFunc(states, func(s fleet.State) bool {
+		s.ChangingModel = ""
+		return versionFits(w, s)
+	})
+	switch {
+	case !w.versionUnavailable(states) && !w.crowdedOut(states):
+		return 0, false
+	case !known:
+		return minRestartDelay, true
+	default:
+		return min(max(minRestartDelay<<min(restarts, maxRestartShift), regeneration), maxRestartDelay), true
+	}
+}
+
+// versionFits reports whether an endpoint's weights and software may generate the item's
 // output.
 func versionFits(w WaitingItem, state fleet.State) bool {
 	version, ok := state.Entry.Versions[w.Model]
 	if !ok || version < w.MinVersion || state.ChangingModel == w.Model {
 		return false
 	}
+	if w.Software != "" && !state.Entry.Software().Continues(w.Software) {
+		return false
+	}
 	return w.PinnedVersion == 0 || version == w.PinnedVersion
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -35,10 +35,14 @@
 	failureBackoff = 30 * time.Millisecond
 	// maxFailureBackoff limits that wait.
 	maxFailureBackoff = time.Second
-	// maxVersionWait is how long the partial output of an item that may have only one
-	// version waits for an endpoint with that version. An endpoint that has failed once
-	// is back before.
-	maxVersionWait = 500 * time.Millisecond
+	// minRestartDelay is how long partial output waits at least for an endpoint that can
+	// continue it. An endpoint that has failed once is back before.
+	minRestartDelay = 500 * time.Millisecond
+	// maxRestartDelay limits that wait: endpoints that crashed are back within a few
+	// seconds, and an item may not wait for five.
+	maxRestartDelay = 2500 * time.Millisecond
+	// maxRestartShift limits how often that wait doubles.
+	maxRestartShift = 3
 	// statusPermanentFailure is the status of an endpoint's answer for an item that
 	// can never succeed.
 	statusPermanentFailure = http.StatusUnprocessableEntity
@@ -47,6 +51,7 @@
 var (
 	errOldVersion     = errors.New("endpoint weights are older than the batch allows")
 	errMixedVersions  = errors.New("endpoint weights differ from those that generated the partial output")
+	errOtherSoftware  = errors.New("endpoint software differs from the one that wrote the partial output")
 	errEventGap       = errors.New("event missing or duplicated")
 	errUnsignedStream = errors.New("response is not signed")
 	errTextTooLong    = errors.New("text is too long to be stored")
@@ -128,7 +133,7 @@
 	for service, list := range waiting {
 		states := k.deps.Fleet.Serving(service)
 		for n := range list {
-			k.releaseVersion(refs[list[n].Index], &list[n], states, now)
+			k.restartIfStuck(refs[list[n].Index], &list[n], states, now)
 		}
 		memory, started := k.engineMemory(service), make(map[int]bool)
 		for _, p := range PlanWithPolicy(k.deps.Policy, list, states, memory, k.groupEndpoints) {
@@ -158,20 +163,23 @@
 	k.deps.Fleet.WantPermits(targets)
 }
 
-// releaseVersion discards an item's partial output if no endpoint can continue it with
-// its only version for maxVersionWait: that version may not come back.
-func (k *Keeper) releaseVersion(ref itemRef, w *WaitingItem, states []fleet.State, now time.Time) {
+// restartIfStuck discards an item's partial output if no endpoint continues it for longer
+// than generating it anew takes, within limits: the only version or software that may
+// continue it may not come back.
+func (k *Keeper) restartIfStuck(ref itemRef, w *WaitingItem, states []fleet.State, now time.Time) {
 	state := &ref.job.items[ref.item]
+	delay, stuck := w.restartDelay(states, time.Duration(len(state.texts))*medianEventInterval(states), state.restarts)
 	switch {
-	case !w.versionUnavailable(states):
-		state.versionMissingSince = time.Time{}
-	case state.versionMissingSince.IsZero():
-		state.versionMissingSince = now
-	case now.Sub(state.versionMissingSince) >= maxVersionWait:
+	case !stuck:
+		state.stuckSince = time.Time{}
+	case state.stuckSince.IsZero():
+		state.stuckSince = now
+	case now.Sub(state.stuckSince) >= delay:
 		event.ItemRestarted.Log(k.deps.Logger, zap.String("batch", ref.job.head.ID), zap.String("item", ref.job.submission.Items[ref.item].ID),
-			zap.Int("version", w.PinnedVersion), zap.Int("events", len(state.texts)))
+			zap.Int("version", w.PinnedVersion), zap.String("software", string(w.Software)), zap.Int("events", len(state.texts)),
+			zap.Duration("waited", now.Sub(state.stuckSince)))
 		state.discardOutput()
-		state.versionMissingSince = time.Time{}
+		state.restarts++
 		*w = waitingOf(ref.job, ref.item, w.Index, k.tokensPerEvent(ref.job.route.Service(ref.job.head.ID)))
 	}
 }
@@ -277,6 +285,9 @@
 	if j.route.SingleVersion && len(state.versions) == 1 {
 		w.PinnedVersion = state.versions[0]
 	}
+	if len(state.texts) > 0 {
+		w.Software = state.software
+	}
 	return w
 }
 
@@ -306,8 +317,13 @@
 func (k *Keeper) runItem(ctx context.Context, j *job, i int, r *itemRun) (relay.Reply, error) {
 	it, target := &j.submission.Items[i], r.target
 	k.mu.Lock()
-	last, textBytes := j.items[i].lastEvent, partial{texts: j.items[i].texts}.bytes()
+	state := &j.items[i]
+	last, textBytes := state.lastEvent, partial{texts: state.texts}.bytes()
+	fits := len(state.texts) == 0 || target.Software().Continues(state.software)
 	k.mu.Unlock()
+	if !fits {
+		return relay.NotRun{Cause: errOtherSoftware}, errOtherSoftware
+	}
 	watchdog := time.AfterFunc(firstEventTimeout, r.cancel)
 	defer watchdog.Stop()
 	reply := k.deps.Engine.Send(ctx, target, relay.Request{
@@ -391,6 +407,9 @@
 		state.discardOutput()
 		return errTextTooLong
 	}
+	if len(state.texts) == 0 {
+		state.software = r.run.target.Software()
+	}
 	state.lastEvent = e.ID
 	state.texts = append(state.texts, e.Data)
 	if r.version != 0 && !slices.Contains(state.versions, r.version) {
--- a/edge/encode.go
+++ b/edge/encode.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/currantloft/currantloft/batch"
+	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/mirror"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/poison"
@@ -71,6 +72,7 @@
 	for _, r := range partials {
 		partial := &wirepb.BatchRest{
 			Item: r.Item, From: int64(r.Offset), Last: int64(r.LastEvent), Whole: r.Complete, Score: r.Score, Scorer: r.RewardID,
+			Software: string(r.Software),
 		}
 		for _, text := range r.Texts {
 			partial.Texts = append(partial.Texts, []byte(text))
@@ -88,7 +90,7 @@
 	for _, r := range in.GetRests() {
 		partial := batch.PartialOutput{
 			Item: r.GetItem(), Offset: int(r.GetFrom()), LastEvent: int(r.GetLast()), Complete: r.GetWhole(),
-			Score: r.GetScore(), RewardID: r.GetScorer(),
+			Score: r.GetScore(), RewardID: r.GetScorer(), Software: fleet.Software(r.GetSoftware()),
 		}
 		for _, text := range r.GetTexts() {
 			partial.Texts = append(partial.Texts, string(text))
