fix(relay): a broken stream goes on at the software that began it

What callers would see: one answer with events of two software versions.

Cause: a stream that broke off was resumed at any endpoint of its service.

Change: the endpoint that sends the first event pins the stream to its software; later attempts select among the endpoints that have it. Before the first event any endpoint may begin. If no endpoint has it, the stream breaks off, and the caller may resume it.

--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -29,7 +29,7 @@
 	defer timer.Stop()
 	for {
 		changed := limits.Changed()
-		states := active.fleet.Serving(active.service)
+		states := active.serving()
 		if target, ok := active.tryReserve(states); ok {
 			return target, nil
 		}
@@ -71,7 +71,7 @@
 			return chosen.Target(), true
 		}
 		// Another request has used the last permit since the states were read.
-		states = active.fleet.Serving(active.service)
+		states = active.serving()
 	}
 }
 
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/fleet"
 )
 
 const (
@@ -35,11 +36,14 @@
 // its connection breaks. It forwards only complete events, so that a resumed
 // stream starts at an event boundary.
 //
+// Only endpoints with the software that sent the first event continue the stream.
+//
 // It is designed for endpoints that crash, are released or reset connections in
 // the middle of streams while others of the service have free slots.
 type resumableStream struct {
 	ctx     context.Context
 	active  *activeRequest
+	target  fleet.Target
 	version int
 	body    io.ReadCloser
 	reader  *bufio.Reader
@@ -52,9 +56,9 @@
 	err     error
 }
 
-func newResumableStream(ctx context.Context, active *activeRequest, answer Answer) *resumableStream {
+func newResumableStream(ctx context.Context, active *activeRequest, answer Answer, target fleet.Target) *resumableStream {
 	return &resumableStream{
-		ctx: ctx, active: active, version: answer.Version, body: answer.Body,
+		ctx: ctx, active: active, target: target, version: answer.Version, body: answer.Body,
 		reader: bufio.NewReader(answer.Body), lastID: active.request.LastEventID,
 	}
 }
@@ -122,6 +126,7 @@
 				return nil, errDuplicateEvent
 			}
 			r.lastID, r.started = max(r.lastID, id), true
+			r.active.pinStarted(r.target)
 			return eventBytes, nil
 		}
 	}
@@ -157,7 +162,7 @@
 		result := active.awaitResult(active.attempts.Sent)
 		answer, ok := result.reply.(Answer)
 		if ok && answer.Status == 200 && answer.Streamed && answer.Signed && answer.Version == r.version {
-			r.body, r.started = answer.Body, false
+			r.body, r.target, r.started = answer.Body, result.target, false
 			r.reader.Reset(answer.Body)
 			event.StreamResumed.Log(active.logger, zap.String("request", active.request.ID), zap.String("from", lostEndpoint),
 				zap.String("endpoint", result.target.ID()), zap.String("software", string(result.target.Software())),
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -59,9 +59,12 @@
 	// activeRequest is the state of one request.
 	activeRequest struct {
 		*Relay
-		request  Request
-		route    routes.Route
-		service  string
+		request Request
+		route   routes.Route
+		service string
+		// software is the only software that may continue the stream, empty before its
+		// first event.
+		software fleet.Software
 		attempts Attempts
 		results  chan attemptResult
 		inFlight int
@@ -204,7 +207,7 @@
 		}
 		if result.body == nil && reply.Body != nil {
 			if active.route.Resumable && reply.Streamed {
-				reply.Body = newResumableStream(ctx, active, reply)
+				reply.Body = newResumableStream(ctx, active, reply, result.target)
 			}
 			return Answered{Status: reply.Status, Header: reply.Header, Stream: reply.Body}
 		}
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -82,7 +82,7 @@
 func serveDeps(ctx context.Context, deps Deps, kind routes.Kind, steps ...func(context.Context) Reply) (Outcome, *scriptedSender) {
 	f := fleet.New(time.Now)
 	for i := range 3 {
-		f.Put(fleet.Entry{ID: fmt.Sprintf("e%d", i), Service: "s", Address: "a:1", Slots: 4})
+		f.Put(fleet.Entry{ID: fmt.Sprintf("e%d", i), Service: "s", SoftwareVersion: "v1", Address: "a:1", Slots: 4})
 	}
 	sender := &scriptedSender{steps: steps}
 	deps.Fleet, deps.Sender, deps.Domain, deps.Scope = f, sender, "a", tally.NoopScope
