fix(edge): a stream that a caller resumes at another host goes on at its software

What callers would see: after a host died, a stream taken up at another host went on with events of another software version.

Cause: `Resumes` was not read, and no host knew what another one had begun.

If nobody knows, or the software has no endpoint, the request is refused at once with a time to return, and has not run. A caller that does not name the first attempt is served only while all endpoints have one software. A route that was split since uses the service that began the stream if it still may.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,6 +88,7 @@
 		peers       *peerClient
 		suspects    *suspects
 		limits      *limits
+		origins     *origins
 		mirror      *mirror.Mirror
 		// restoreUntil is the time until which entries that were removed while the
 		// store was unavailable may be registered again. The mirror's lock guards it.
@@ -121,11 +122,12 @@
 	e.roster.OnDead(e.peers.notifyLost)
 	e.roster.OnLeaving(e.peers.notifyLeaving)
 	e.limits = newLimits(e.fleet.Limits(), e.peers, logger)
+	e.origins = newOrigins(e.peers, logger)
 	e.suspects = newSuspects(e.peers, logger)
 	e.roster.SetQuarantine(e.suspects)
 	e.roster.SetLimits(e.limits)
 	e.relay = relay.New(relay.Deps{
-		Fleet: e.fleet, Sender: e.sender, Suspects: e.suspects,
+		Fleet: e.fleet, Sender: e.sender, Suspects: e.suspects, Origins: e.origins,
 		Domain: settings.Domain(), Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.keeper = batch.New(batch.Deps{
@@ -160,7 +162,7 @@
 	serviceCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(serviceCtx)
-	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run} {
+	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run} {
 		group.Go(func() error { return run(groupCtx) })
 	}
 	select {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -267,6 +267,8 @@
 		if isReport(body.LimitCall) {
 			e.peers.passOn(call)
 		}
+	case *wirepb.Frame_OriginCall:
+		reply = &wirepb.Frame{Body: &wirepb.Frame_OriginReply{OriginReply: e.origins.serve(body.OriginCall)}}
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Apply(decodeNotification(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
--- a/event/event.go
+++ b/event/event.go
@@ -52,6 +52,8 @@
 	SuspectsSpread        = define(407, "suspects_spread", zapcore.InfoLevel)
 	SuspectLearned        = define(408, "suspect_learned", zapcore.InfoLevel)
 	RequestCleared        = define(409, "request_cleared", zapcore.InfoLevel)
+	StreamOriginUnknown   = define(410, "stream_origin_unknown", zapcore.WarnLevel)
+	StreamOriginNotSent   = define(411, "stream_origin_not_sent", zapcore.InfoLevel)
 
 	EndpointReady   = define(500, "endpoint_ready", zapcore.InfoLevel)
 	EndpointDown    = define(501, "endpoint_down", zapcore.WarnLevel)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -15,6 +15,7 @@
 import (
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -180,6 +181,12 @@
 	return Software(e.Service + "/" + e.SoftwareVersion)
 }
 
+// Service returns the service of the software's endpoints.
+func (s Software) Service() string {
+	service, _, _ := strings.Cut(string(s), "/")
+	return service
+}
+
 // Continues reports whether this software may continue what another one wrote.
 func (s Software) Continues(written Software) bool { return s != "" && s == written }
 
--- a/relay/pin.go
+++ b/relay/pin.go
@@ -1,17 +1,64 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"slices"
+	"time"
 
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/routes"
 )
 
+// unknownOriginRetryAfter is the retry delay if it is not known which software began the
+// stream that a caller resumes: another host may know it, and be reached by then.
+const unknownOriginRetryAfter = 200 * time.Millisecond
+
+var errUnknownOrigin = errors.New("it is not known which software version began the stream")
+
+// pinResumed limits a stream that the caller resumes to the software that began it. It
+// returns the outcome if that is not known, since no other software may continue it.
+func (active *activeRequest) pinResumed(ctx context.Context) Outcome {
+	request := active.request
+	if active.route.Kind != routes.Streaming || request.Resumes == "" && request.LastEventID < 0 {
+		return nil
+	}
+	software, ok := active.resumedSoftware(ctx)
+	if !ok {
+		return Refused{RetryAfter: unknownOriginRetryAfter, Cause: errUnknownOrigin}
+	}
+	active.software = software
+	service := software.Service()
+	if slices.ContainsFunc(active.route.Shares, func(s routes.Share) bool { return s.Service == service && s.Weight > 0 }) {
+		active.service = service
+	}
+	return nil
+}
+
+// resumedSoftware returns the software that began the stream. A caller that does not say
+// which attempt that was is served only while all endpoints have the same software.
+func (active *activeRequest) resumedSoftware(ctx context.Context) (fleet.Software, bool) {
+	if active.request.Resumes != "" {
+		return active.origins.Lookup(ctx, active.request.Resumes)
+	}
+	var sole fleet.Software
+	for _, s := range active.fleet.Serving(active.service) {
+		software := s.Entry.Software()
+		if sole != "" && software != sole {
+			return "", false
+		}
+		sole = software
+	}
+	return sole, sole != ""
+}
+
 // pinStarted limits a stream to the software that has sent its first event.
 func (active *activeRequest) pinStarted(target fleet.Target) {
 	if active.software != "" {
 		return
 	}
 	active.software = target.Software()
+	active.origins.Record(active.request.ID, active.software)
 }
 
 // serving returns the endpoints that may get the request: those of its service, with the
--- a/relay/pin_test.go
+++ b/relay/pin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,9 +16,32 @@
 	"github.com/currantloft/currantloft/routes"
 )
 
+// recordedOrigins are the origins that one host knows.
+type recordedOrigins struct {
+	mu       sync.Mutex
+	software map[string]fleet.Software
+}
+
+func newRecordedOrigins() *recordedOrigins {
+	return &recordedOrigins{software: make(map[string]fleet.Software)}
+}
+
+func (r *recordedOrigins) Lookup(_ context.Context, attempt string) (fleet.Software, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	software, ok := r.software[attempt]
+	return software, ok
+}
+
+func (r *recordedOrigins) Record(attempt string, software fleet.Software) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.software[attempt] = software
+}
+
 // serveMixed serves a stream at two endpoints of software v1 and two of v2, and returns
-// its text and the software of the endpoints that it was sent to.
-func serveMixed(t *testing.T, request Request, versions []string, steps ...func(context.Context) Reply) (string, []string) {
+// its text, the software of the endpoints that it was sent to, and the outcome.
+func serveMixed(t *testing.T, origins Origins, request Request, versions []string, steps ...func(context.Context) Reply) (string, []string, Outcome) {
 	t.Helper()
 	f, softwareOf := fleet.New(time.Now), make(map[string]string)
 	for i, version := range versions {
@@ -27,7 +51,7 @@
 	}
 	sender := &scriptedSender{steps: steps}
 	outcome := New(Deps{
-		Fleet: f, Sender: sender, Suspects: newCrashOnDisconnect(), Scope: tally.NoopScope, Logger: zap.NewNop(),
+		Fleet: f, Sender: sender, Suspects: newCrashOnDisconnect(), Origins: origins, Scope: tally.NoopScope, Logger: zap.NewNop(),
 	}).Serve(t.Context(), request, routes.Route{
 		Kind: routes.Streaming, Shares: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 4, Resumable: true,
 		Timeout: 4 * stallTimeout, TargetLatency: time.Second,
@@ -42,7 +66,7 @@
 	for _, id := range sender.sent {
 		software = append(software, softwareOf[id])
 	}
-	return string(text), software
+	return string(text), software, outcome
 }
 
 // TestStreamMovesToOtherSoftware checks that a broken stream goes on at the software that
@@ -50,22 +74,62 @@
 func TestStreamMovesToOtherSoftware(t *testing.T) {
 	mixed := []string{"v1", "v1", "v2", "v2"}
 	for range 10 {
-		text, software := serveMixed(t, Request{ID: "r", LastEventID: -1}, mixed,
+		text, software, _ := serveMixed(t, newRecordedOrigins(), Request{ID: "r", LastEventID: -1}, mixed,
 			streamOf(1, eventsOf(0, 2), true), streamOf(1, eventsOf(2, 4), false))
 		check.Equal(t, "text", text, eventsOf(0, 4))
 		check.Equal(t, "distinct software", len(slices.Compact(software)), 1)
 	}
 	t.Run("no other endpoint has it", func(t *testing.T) {
-		text, software := serveMixed(t, Request{ID: "r", LastEventID: -1}, []string{"v1", "v2"},
+		text, software, _ := serveMixed(t, newRecordedOrigins(), Request{ID: "r", LastEventID: -1}, []string{"v1", "v2"},
 			streamOf(1, eventsOf(0, 2), true), streamOf(1, eventsOf(2, 4), false))
 		if len(slices.Compact(software)) != 1 {
 			t.Errorf("sent to software %v, got %q", software, text)
 		}
 	})
 	t.Run("software is not stated", func(t *testing.T) {
-		_, software := serveMixed(t, Request{ID: "r", LastEventID: -1}, []string{"", ""},
+		_, software, _ := serveMixed(t, newRecordedOrigins(), Request{ID: "r", LastEventID: -1}, []string{"", ""},
 			streamOf(1, eventsOf(0, 2), true), lost)
 		check.Equal(t, "attempts at the endpoint that began the stream", len(software) >= 1, true)
 	})
 }
 
+// TestResumedStreamAtOtherSoftware checks where the stream of a caller goes on that
+// resumes it.
+func TestResumedStreamAtOtherSoftware(t *testing.T) {
+	mixed := []string{"v1", "v1", "v2", "v2"}
+	rest := streamOf(1, eventsOf(2, 4), false)
+	t.Run("known", func(t *testing.T) {
+		origins := newRecordedOrigins()
+		origins.Record("first", "s/v2")
+		for range 10 {
+			text, software, _ := serveMixed(t, origins, Request{ID: "again", Resumes: "first", LastEventID: 1}, mixed, rest)
+			check.Equal(t, "text", text, eventsOf(2, 4))
+			check.Equal(t, "software", software, []string{"v2"})
+		}
+	})
+	for name, tc := range map[string]struct {
+		request  Request
+		recorded fleet.Software
+		versions []string
+	}{
+		"unknown":                   {Request{ID: "again", Resumes: "first", LastEventID: 1}, "", mixed},
+		"its software is gone":      {Request{ID: "again", Resumes: "first", LastEventID: 1}, "s/v0", mixed},
+		"unknown, one version only": {Request{ID: "again", Resumes: "first", LastEventID: 1}, "", []string{"v1", "v1"}},
+		"first attempt not named":   {Request{ID: "again", LastEventID: 1}, "", mixed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			origins := newRecordedOrigins()
+			if tc.recorded != "" {
+				origins.Record("first", tc.recorded)
+			}
+			_, software, outcome := serveMixed(t, origins, tc.request, tc.versions, rest)
+			if refused, ok := outcome.(Refused); !ok || refused.RetryAfter <= 0 || len(software) > 0 {
+				t.Errorf("got %#v after attempts at %v, want a refusal with a retry delay after none", outcome, software)
+			}
+		})
+	}
+	t.Run("first attempt not named, one version", func(t *testing.T) {
+		text, _, _ := serveMixed(t, newRecordedOrigins(), Request{ID: "again", LastEventID: 1}, []string{"v1", "v1"}, rest)
+		check.Equal(t, "text", text, eventsOf(2, 4))
+	})
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,6 +36,9 @@
 		Deadline time.Time
 		// LastEventID is the ID of the last event that the caller has received, -1 for none.
 		LastEventID int
+		// Resumes is the ID of the attempt that brought the first event of a stream which
+		// the caller resumes, empty for a new stream.
+		Resumes string
 		// Caller is a hash of the request's headers that identifies the caller. It is
 		// the same for all attempts of one caller.
 		Caller uint64
@@ -96,6 +99,15 @@
 		Answered(request Request)
 	}
 
+	// Origins remembers which software began each stream.
+	Origins interface {
+		// Lookup returns the software that began the stream whose first event the attempt
+		// has brought, also if that was at another host.
+		Lookup(ctx context.Context, attempt string) (fleet.Software, bool)
+		// Record records that software for this host and others.
+		Record(attempt string, software fleet.Software)
+	}
+
 	// Outcome is the final outcome for the caller: Answered, Refused or Failed.
 	Outcome interface{ isOutcome() }
 
--- a/relay/reserve_test.go
+++ b/relay/reserve_test.go
@@ -31,7 +31,7 @@
 	}()
 	started := time.Now()
 	outcome := New(Deps{
-		Fleet: f, Sender: sender, Suspects: newCrashOnDisconnect(), Logger: zap.NewNop(), Scope: tally.NoopScope,
+		Fleet: f, Sender: sender, Suspects: newCrashOnDisconnect(), Origins: newRecordedOrigins(), Logger: zap.NewNop(), Scope: tally.NoopScope,
 	}).Serve(t.Context(), Request{ID: "r", LastEventID: -1}, routes.Route{
 		Kind: routes.Idempotent, Shares: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2, Timeout: 2 * time.Second,
 	})
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -40,6 +40,7 @@
 		Fleet    *fleet.Fleet
 		Sender   Sender
 		Suspects Suspects
+		Origins  Origins
 		// Domain is the node's failure domain.
 		Domain string
 		Scope  tally.Scope
@@ -51,6 +52,7 @@
 		fleet    *fleet.Fleet
 		sender   Sender
 		suspects Suspects
+		origins  Origins
 		domain   string
 		logger   *zap.Logger
 		scope    tally.Scope
@@ -125,7 +127,7 @@
 // New returns a Relay with the given dependencies.
 func New(deps Deps) *Relay {
 	return &Relay{
-		fleet: deps.Fleet, sender: deps.Sender, suspects: deps.Suspects,
+		fleet: deps.Fleet, sender: deps.Sender, suspects: deps.Suspects, origins: deps.Origins,
 		domain: deps.Domain, logger: deps.Logger, scope: deps.Scope,
 	}
 }
@@ -149,7 +151,10 @@
 			Repeatable: route.Repeatable(), MaxRuns: route.Attempts(), Deadline: deadline,
 		},
 	}
-	outcome := active.run(ctx)
+	outcome := active.pinResumed(ctx)
+	if outcome == nil {
+		outcome = active.run(ctx)
+	}
 	answered, ok := outcome.(Answered)
 	if !ok && active.notified != nil {
 		// The caller may retry through another node within a millisecond. That node
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -86,6 +86,7 @@
 	}
 	sender := &scriptedSender{steps: steps}
 	deps.Fleet, deps.Sender, deps.Domain, deps.Scope = f, sender, "a", tally.NoopScope
+	deps.Origins = newRecordedOrigins()
 	route := routes.Route{
 		Kind: kind, Shares: []routes.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2,
 		Timeout: 400 * time.Millisecond, TargetLatency: 80 * time.Millisecond,
