perf(batch): short items leave slots to long ones beside limited endpoints

Shorter items now fill 0.8 of the slots then.

What remains is the cost of keeping the limits: six of nine engines take half of their requests.

--- a/batch/plan.go
+++ b/batch/plan.go
@@ -26,6 +26,9 @@
 	// for each other and still end long before the step.
 	shortItemEvents = 20
 	shortItemShare  = 0.5
+	// limitedFillShare replaces the shares of shorter items while an endpoint of the
+	// service limits requests, since then slots are scarce at the others.
+	limitedFillShare = mediumItemShare
 	// promptReadCost is the cost of reading a prompt once more: a thousand tokens
 	// at 300 a millisecond, and the same again for the requests that wait behind
 	// it.
@@ -268,14 +271,16 @@
 	newest, limited := 0, false
 	for i := range candidates {
 		newest = max(newest, candidates[i].state.Entry.Versions[w.Model])
-		// Slots are not kept free for long items while other endpoints take few requests.
 		limited = limited || candidates[i].state.Limited
 	}
 	best, bestCost := -1, time.Duration(0)
 	for i := range candidates {
 		c := &candidates[i]
-		crowded := float64(c.state.Busy()) >= maxFillShare(w.Events)*float64(c.state.Entry.Slots)
-		if crowded && !limited || !c.usable(w) {
+		fill := maxFillShare(w.Events)
+		if limited {
+			fill = max(fill, limitedFillShare)
+		}
+		if float64(c.state.Busy()) >= fill*float64(c.state.Entry.Slots) || !c.usable(w) {
 			continue
 		}
 		slowdown := 1 + slowdownPerRequest*float64(c.state.Busy())
