--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -200,3 +200,24 @@
 		}
 	})
 }
+
+// BenchmarkBegin measures what the check for a permit costs each request, with and
+// without limits at other endpoints.
+func BenchmarkBegin(b *testing.B) {
+	for name, limited := range map[string]bool{"no limits": false, "limits elsewhere": true} {
+		b.Run(name, func(b *testing.B) {
+			f := New(time.Now)
+			f.Put(entryOf("a"))
+			if limited {
+				for _, id := range []string{"b", "c", "d"} {
+					f.Put(entryOf(id))
+					f.Limits().Observe(id, time.Now(), quota.PerSecond(2))
+				}
+			}
+			for b.Loop() {
+				f.Begin("a")
+				f.End("a", Answered)
+			}
+		})
+	}
+}
