fix(edge): a limit ages while hosts exchange it

Found by reading: a limit's age was taken as of the answer's arrival, so that each exchange between two hosts made it younger by the time on the way. Hosts that ask back to back on a slow link would never have taken over the end of a limit. The asking host now adds the time of its call.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -23,6 +23,9 @@
 	// minReportInterval is the least time between two reports of an endpoint's limit to
 	// the other hosts. Hosts that miss one learn of the limit from their next answer.
 	minReportInterval = time.Second
+	// minFailureLogInterval is the least time between two log lines on one host that does
+	// not grant permits.
+	minFailureLogInterval = time.Second
 	// allotterKey begins the rendezvous key of an endpoint's allotter.
 	allotterKey = "limit/"
 )
@@ -38,6 +41,7 @@
 	mu         sync.Mutex
 	asking     map[string]bool
 	reportedAt map[string]time.Time
+	failedAt   map[string]time.Time
 }
 
 var _ roster.Limits = (*limits)(nil)
@@ -45,7 +49,7 @@
 func newLimits(book *quota.Book, p *peerClient, logger *zap.Logger) *limits {
 	l := &limits{
 		book: book, allotter: quota.NewAllotter(book, time.Now), peers: p, logger: logger,
-		asking: make(map[string]bool), reportedAt: make(map[string]time.Time),
+		asking: make(map[string]bool), reportedAt: make(map[string]time.Time), failedAt: make(map[string]time.Time),
 	}
 	book.OnChange(l.changed)
 	return l
@@ -111,14 +115,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitCallTimeout)
 	defer cancel()
+	started := time.Now()
 	frame, err := l.peers.callHost(ctx, host, &wirepb.Frame{Body: &wirepb.Frame_LimitCall{LimitCall: call}})
 	if err == nil && len(frame.GetLimitReply().GetGrants()) == len(needs) {
-		for _, grant := range frame.GetLimitReply().GetGrants() {
-			l.book.Apply(decodeGrant(grant))
+		for _, in := range frame.GetLimitReply().GetGrants() {
+			grant := decodeGrant(in)
+			// Otherwise a limit that goes back and forth between two hosts would never age.
+			grant.Age += time.Since(started)
+			l.book.Apply(grant)
 		}
 		return
 	}
-	event.PermitsNotGranted.Log(l.logger, zap.String("host", host), zap.Int("endpoints", len(needs)), zap.Error(err))
+	l.logFailure(host, len(needs), err)
 	if !l.peers.Discovered() {
 		// The number of hosts, and so this host's share, is not known yet.
 		return
@@ -128,6 +136,19 @@
 	}
 }
 
+// logFailure logs that a host granted nothing, at most once in minFailureLogInterval.
+func (l *limits) logFailure(host string, endpoints int, err error) {
+	l.mu.Lock()
+	recent := time.Since(l.failedAt[host]) < minFailureLogInterval
+	if !recent {
+		l.failedAt[host] = time.Now()
+	}
+	l.mu.Unlock()
+	if !recent {
+		event.PermitsNotGranted.Log(l.logger, zap.String("host", host), zap.Int("endpoints", endpoints), zap.Error(err))
+	}
+}
+
 // serve answers another host's call. A host that is not the allotter in its own view
 // grants nothing, so that two hosts don't allot the same permits for longer than their
 // views differ.
--- a/relay/reserve.go
+++ b/relay/reserve.go
@@ -31,6 +31,7 @@
 		changed := limits.Changed()
 		states := active.serving()
 		if target, ok := active.tryReserve(states); ok {
+			active.attempts.NextPermit = 0
 			return target, nil
 		}
 		wanted, ok := active.exhausted(states)
--- a/roster/hello.go
+++ b/roster/hello.go
@@ -191,7 +191,11 @@
 	if err != nil {
 		return
 	}
-	reply := frame.GetHelloReply()
+	r.applyReply(frame.GetHelloReply())
+}
+
+// applyReply records what the answer to a hello says.
+func (r *Roster) applyReply(reply *wirepb.HelloReply) {
 	if leaving, ok := r.recordHello(reply.GetFrom()); ok && r.onLeaving != nil {
 		r.onLeaving(leaving)
 	}
