fix(roster): hosts that start or become hubs pass no lost hosts on

Cause: two reports that outlive their host. A hub that starts has read the store's entries, also of hosts that are gone; it counted as settled after its first answer from any hub, while it still had hubs that are gone, and the hosts that belong to it took them over. A host that becomes a hub (another one died) had the lists of its parent; deaths are announced to hubs only, so it kept hosts whose death was announced before, for as long as it did not say hello to their parent.

Change: a host that starts, or became a hub within three seconds, drops what a hub's list lacks, unless it is new; it brings nobody back by such a list. A host that starts says hello to two more hubs beside its parent until it is settled.

--- a/roster/hello.go
+++ b/roster/hello.go
@@ -81,18 +81,27 @@
 }
 
 // helloTargets returns the hosts to send a hello to. A host that is not a hub sends
-// one to its parent. A hub sends them to the next helloFanout hubs in order of names,
+// one to its parent, and to other hubs while it starts. A hub sends them to the next helloFanout hubs in order of names,
 // to the hubs that are unconfirmed or dead or whose last hello failed, and to those of
 // its own hosts that are silent. A host that starts, or comes back, says hello itself.
 func (r *Roster) helloTargets() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, now := r.topology(), time.Now()
+	if isHub := t.isHub[r.self.Name]; isHub != !r.hubSince.IsZero() {
+		r.hubSince = time.Time{}
+		if isHub {
+			r.hubSince = now
+		}
+	}
 	var targets []Host
 	if parent, ok := t.parents[r.self.Name]; ok {
 		if p := r.hosts[parent]; p != nil {
 			targets = append(targets, p.host)
 		}
+		if !r.settled() {
+			targets = append(targets, r.otherHubs(t, parent)...)
+		}
 		return targets
 	}
 	hosts := r.allHostsLocked()
@@ -116,6 +125,19 @@
 	return targets
 }
 
+// otherHubs returns some hubs other than the parent. A host that starts may have a parent
+// that is gone, of which it has only read the entry. The caller holds the lock.
+func (r *Roster) otherHubs(t *topology, parent string) []Host {
+	var hubs []Host
+	for _, i := range rand.Perm(len(t.hubs)) {
+		h := t.hubs[i]
+		if p := r.hosts[h.Name]; p != nil && h.Name != parent && !p.dead && len(hubs) < startFanout {
+			hubs = append(hubs, p.host)
+		}
+	}
+	return hubs
+}
+
 // watchesAsHub reports whether hubs watch the host together: it is a hub, or could be
 // one if it were not dead or leaving. The caller holds the lock.
 func (r *Roster) watchesAsHub(t *topology, h Host, p *peer) bool {
@@ -203,10 +225,10 @@
 		r.recordReported(fromHostInfo(info))
 	}
 	if reply.GetSettled() {
-		r.catchUp(reply.GetFrom().GetName())
 		if len(reply.GetHosts()) > 0 {
 			r.adoptList(reply)
 		}
+		r.catchUp(reply.GetFrom().GetName())
 	}
 	if r.quarantine != nil {
 		r.quarantine.Merge(reply.GetRefused())
@@ -247,7 +269,9 @@
 }
 
 // adoptList takes over what another node's list says of the hosts that it knows
-// better: a parent's list of all hosts, and a hub's list of those that belong to it.
+// better: a parent's list of all hosts, and a hub's list of those that belong to it. A
+// host that starts, or has just become a hub, also drops the hosts that a hub's list
+// lacks: it has only read their entries, or was not told of their end as hubs are.
 func (r *Roster) adoptList(reply *wirepb.HelloReply) {
 	listed := make(map[string]uint64, len(reply.GetHosts()))
 	for _, info := range reply.GetHosts() {
@@ -257,17 +281,18 @@
 	defer r.mu.Unlock()
 	from, t := reply.GetFrom().GetName(), r.topology()
 	isParent := t.parents[r.self.Name] == from
-	if !isParent && !t.isHub[r.self.Name] {
+	starts := t.isHub[from] && (!r.settled() || time.Since(r.hubSince) < settleTime)
+	if !isParent && !starts && !t.isHub[r.self.Name] {
 		return
 	}
 	for name, p := range r.hosts {
 		knowsBetter := isParent || !t.isHub[name] && t.parentOf(name) == from
-		if name == from || !knowsBetter {
+		if name == from || !knowsBetter && !starts {
 			continue
 		}
 		incarnation, ok := listed[name]
 		switch {
-		case ok && p.dead && p.host.Incarnation == incarnation && time.Since(p.lastHeard) > settleTime:
+		case ok && knowsBetter && p.dead && p.host.Incarnation == incarnation && time.Since(p.lastHeard) > settleTime:
 			// Before that, the other node may not have found the death yet.
 			p.dead, p.failures = false, 0
 			r.invalidate()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -48,6 +48,9 @@
 	// names. A hub that finds a host dead notifies the other hubs, which then check for
 	// themselves, so the hellos of a node don't grow with the fleet.
 	helloFanout = 6
+	// startFanout is how many other hubs a host that is not a hub sends hellos to until it
+	// is settled.
+	startFanout = 2
 	// childHelloInterval is the pause between two hellos of a host to its parent.
 	childHelloInterval = 1400 * time.Millisecond
 	// childSilence is how long a hub waits for a hello of a host that belongs to it
@@ -134,6 +137,8 @@
 		discoveredAt time.Time
 		// caughtUp is true once the node has what a settled hub knows.
 		caughtUp bool
+		// hubSince is since when the node is a hub, zero if it is none.
+		hubSince time.Time
 		// statusChangedAt is when a host was last found dead or alive again.
 		statusChangedAt time.Time
 		hosts           map[string]*peer
