--- a/roster/hello.go
+++ b/roster/hello.go
@@ -80,10 +80,11 @@
 	return hosts
 }
 
-// helloTargets returns the hosts to send a hello to. A host that is not a hub sends
-// one to its parent, and to other hubs while it starts. A hub sends them to the next helloFanout hubs in order of names,
-// to the hubs that are unconfirmed or dead or whose last hello failed, and to those of
-// its own hosts that are silent. A host that starts, or comes back, says hello itself.
+// helloTargets returns the hosts to send a hello to. A host that is not a hub sends one
+// to its parent, and to some other hubs while it starts. A hub sends them to the next
+// helloFanout hubs in order of names, to the hubs that are unconfirmed or dead or whose
+// last hello failed, and to those of its own hosts that are silent. A host that starts,
+// or comes back, says hello itself.
 func (r *Roster) helloTargets() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
