test(integ): callers of hosts that reach no endpoint are not served

Seen: 0 of 60 served at the cut hosts, 40 of 40 at the others, with links that hang, with links that are refused and reset, and with new links that hang while open ones are reset. 60 of 60 while open connections live on, as the pool still has some.

fakes/links breaks the connections that one process opens, as a file says; fakes/gated is an edge node that opens its connections to endpoints through it (edge.Options.DialEndpoint). No behaviour of the product changes: the dial's time limit is now set by a context.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -110,7 +110,7 @@
 	e.settings.Store(settings)
 	e.pool.Observe(countCalls(e.meter.Scope()))
 	e.store = platform.NewStore(settings.StoreAddress(), e.meter.Scope(), logger)
-	e.sender = platform.NewSender(e.fleet, logger)
+	e.sender = platform.NewSender(e.fleet, options.DialEndpoint, logger)
 	self := roster.Host{
 		Name: settings.Name(), Incarnation: uint64(time.Now().UnixNano()), Domain: settings.Domain(),
 		CallerAddress: settings.CallerAddress(), PeerAddress: settings.PeerAddress(), Power: uint32(settings.CPUQuota() * milliPerCore),
--- a/edge/policy.go
+++ b/edge/policy.go
@@ -8,6 +8,7 @@
 
 	"github.com/currantloft/currantloft/batch"
 	"github.com/currantloft/currantloft/orders"
+	"github.com/currantloft/currantloft/platform"
 )
 
 // DefaultPolicy names the default policy.
@@ -20,6 +21,8 @@
 		AdminPort int
 		// Policy determines how items are placed and weight versions loaded.
 		Policy Policy
+		// DialEndpoint opens connections to endpoints, nil for a net.Dialer.
+		DialEndpoint platform.DialFunc
 	}
 
 	// Policy combines a placement of items with a rollout of weight versions. Those
--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -42,6 +42,7 @@
 		name            string
 		settings        string
 		log             string
+		links           string
 		callerAddress   string
 		readyAddress    string
 		resolverAddress string
@@ -62,6 +63,8 @@
 		hosts   []*host
 		subnet  string
 		client  *http.Client
+		// binary runs the hosts.
+		binary string
 	}
 
 	// resultPage is a page of a batch's results.
@@ -88,10 +91,16 @@
 // newSiteWith is newSite with engines of the given software, which mark their events if
 // the options say so.
 func newSiteWith(t testing.TB, hosts int, limit time.Duration, engines ...fake.EngineOptions) *site {
+	t.Helper()
+	return newSiteOf(t, binaryPath, hosts, limit, engines...)
+}
+
+// newSiteOf is newSiteWith with the program that runs the hosts.
+func newSiteOf(t testing.TB, binary string, hosts int, limit time.Duration, engines ...fake.EngineOptions) *site {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	t.Cleanup(cancel)
-	s := &site{t: t, ctx: ctx, store: fake.StartStore(), subnet: newSubnet(), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &site{t: t, ctx: ctx, store: fake.StartStore(), subnet: newSubnet(), binary: binary, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(s.store.Close)
 	for i, options := range engines {
 		s.engines = append(s.engines, s.startEndpoint(fake.EngineOptions{
@@ -202,7 +211,7 @@
 	name := fmt.Sprintf("edge-%d", i)
 	ip := fmt.Sprintf("%s.%d", s.subnet, i+1)
 	h := &host{
-		name: name, settings: filepath.Join(dir, name+".conf"), log: filepath.Join(dir, name+".log"),
+		name: name, settings: filepath.Join(dir, name+".conf"), log: filepath.Join(dir, name+".log"), links: filepath.Join(dir, name+".links"),
 		callerAddress:   fmt.Sprintf("%s:%d", ip, callersPort),
 		readyAddress:    fmt.Sprintf("%s:%d", ip, readyPort),
 		resolverAddress: fmt.Sprintf("%s:%d", ip, resolverPort),
@@ -242,8 +251,8 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	cmd, done := exec.Command(binaryPath, "edge", "--admin-port", strconv.Itoa(adminPort)), make(chan struct{})
-	cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings)
+	cmd, done := exec.Command(s.binary, "edge", "--admin-port", strconv.Itoa(adminPort)), make(chan struct{})
+	cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings, "CURRANTLOFT_LINKS="+h.links)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		s.t.Error(err)
--- /dev/null
+++ b/integ/links_test.go
@@ -0,0 +1,125 @@
+package integ
+
+import (
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/currantloft/currantloft/fakes/links"
+	"github.com/currantloft/currantloft/platform/fake"
+)
+
+const (
+	linkSiteHosts = 5
+	// noticeTime is the users' bound from the loss of the links to the first request that
+	// must be served.
+	noticeTime = 3 * time.Second
+	// minServedShare, failedSlack and failedShare are the users' bound: first tries at
+	// hosts that reach no endpoint are served at least two thirds as often as those at
+	// the others, unless at most ten and one in fifty of all fail there.
+	minServedShare = 2.0 / 3
+	failedSlack    = 10
+	failedShare    = 1.0 / 50
+	// callerDeadline is the shortest deadline on the users' sites.
+	callerDeadline = 800 * time.Millisecond
+)
+
+// gatedBinary builds the program whose links to endpoints can be broken.
+var gatedBinary = sync.OnceValues(func() (string, error) {
+	path := filepath.Join(filepath.Dir(binaryPath), "gated")
+	if out, err := exec.Command("go", "build", "-o", path, "../fakes/gated").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+// newLinkSite starts a site whose hosts can lose their links to endpoints.
+func newLinkSite(t *testing.T, hosts int, limit time.Duration) *site {
+	t.Helper()
+	binary, err := gatedBinary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine := fake.EngineOptions{Software: "v1"}
+	return newSiteOf(t, binary, hosts, limit, engine, engine, engine)
+}
+
+// breakLinks replaces the faults of the links from a host to endpoints.
+func (s *site) breakLinks(h *host, faults ...links.Fault) {
+	s.t.Helper()
+	if err := links.Write(h.links, faults...); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// tally counts first tries and those that were served.
+type tally struct{ tried, served int }
+
+func (t tally) share() float64 { return float64(t.served) / float64(max(1, t.tried)) }
+
+// firstTries sends plain requests to each of the hosts, once a request, and counts the
+// answers that came before the callers' deadline.
+func (s *site) firstTries(label string, hosts []*host, each int) tally {
+	var (
+		mu    sync.Mutex
+		all   tally
+		tasks sync.WaitGroup
+	)
+	for i, h := range hosts {
+		tasks.Go(func() {
+			for n := range each {
+				started := time.Now()
+				status, _ := s.send(http.MethodPost, h.callerAddress, plainPath+"x", fmt.Sprintf("%s-%d-%d", label, i, n), []byte("x"))
+				mu.Lock()
+				all.tried++
+				if status == http.StatusOK && time.Since(started) <= callerDeadline {
+					all.served++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	tasks.Wait()
+	return all
+}
+
+// checkServedAlike checks the users' bound on the first tries at hosts that reach no
+// endpoint.
+func checkServedAlike(t *testing.T, cut, others tally) {
+	t.Helper()
+	t.Logf("hosts that reach no endpoint served %d of %d, the others %d of %d", cut.served, cut.tried, others.served, others.tried)
+	failed, allowed := cut.tried-cut.served, failedSlack+failedShare*float64(cut.tried+others.tried)
+	if cut.share() < minServedShare*others.share() && float64(failed) > allowed {
+		t.Errorf("%d first tries failed, want at most %.0f, or to serve two thirds as often as the others", failed, allowed)
+	}
+}
+
+// linkFaults are the ways in which a host loses its links.
+var linkFaults = map[string]links.Fault{
+	"links hang":                          {New: links.NewHang, Open: links.OpenHang},
+	"links are refused and reset":         {New: links.NewRefuse, Open: links.OpenReset},
+	"new links hang and open ones live":   {New: links.NewHang, Open: links.OpenLive},
+	"new links refused, open ones live":   {New: links.NewRefuse, Open: links.OpenLive},
+	"new links hang, open ones are reset": {New: links.NewHang, Open: links.OpenReset},
+}
+
+// TestCallersOfHostWithoutEndpointsAreServed cuts most hosts off from all endpoints. Their
+// callers must be served like those of the others.
+func TestCallersOfHostWithoutEndpointsAreServed(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			s := newLinkSite(t, linkSiteHosts, siteTimeout)
+			s.firstTries("before", s.hosts, 10)
+			cut, others := s.hosts[:3], s.hosts[3:]
+			for _, h := range cut {
+				s.breakLinks(h, fault)
+			}
+			time.Sleep(noticeTime)
+			checkServedAlike(t, s.firstTries("cut", cut, 20), s.firstTries("others", others, 20))
+		})
+	}
+}
