fix(detour): a host that reaches no endpoint serves its callers through other hosts

Cause: an attempt had one path, from the host that has the request straight to the endpoint, and a silent link was noticed late and by each attempt for itself: 400 ms for a dial, 1.2 to 4 s for an open connection, of a caller's 800 ms. Class: what one host can't do by itself is not asked of those that can.

Change: package reach records for each path (direct, or through a host) how connecting went, and package detour sends an attempt over the next path when there is no connection. A path in use that is silent for 150 ms is checked by opening a connection; it counts as broken only while another path to the same endpoint works, so a dead endpoint is told from a lost link. Requests that may be repeated leave a broken path, all others wait on. A host that has lost several endpoints and reached none since begins with other hosts. Broken paths are checked every half second until they work again. The other host carries bytes only, to addresses of endpoints that it knows; requests and answers are read and written where the request is. Bytes that are older than 400 ms by that host's own clock, which includes suspension, are not passed on, so nothing that was given up arrives later. Orders stay direct: an endpoint tells holders apart by host. Streams of items, reward calls and reports use the same sender. An endpoint is taken for crashed only if another host is refused too. Each path has open connections of its own.

Observability: events 510 and 511 say that this host can't reach an endpoint that another host reaches, 512 that old bytes were dropped; counters endpoint_attempts by path, detours_served.

Ruled out: serving through redirects (callers' own tries count), and taking the cut hosts out of the directory (callers keep addresses for seconds).

--- a/batch/reward.go
+++ b/batch/reward.go
@@ -208,6 +208,7 @@
 func (k *Keeper) sendReward(ctx context.Context, call RewardCall, target fleet.Target, deadline time.Time) (reply relay.Reply, signature string, err error) {
 	reply = k.deps.Engine.Send(ctx, target, relay.Request{
 		ID: call.ID, Host: call.Host, Method: http.MethodPost, Target: call.Path, Body: call.Body, Deadline: deadline, LastEventID: -1,
+		Repeatable: true,
 	})
 	answer, ok := reply.(relay.Answer)
 	if !ok {
@@ -285,10 +286,13 @@
 			return fleet.Full
 		}
 		return fleet.Failed
-	default:
-		if errors.Is(ctx.Err(), context.Canceled) {
+	case relay.Lost:
+		if r.PathLost {
 			return fleet.Cancelled
 		}
-		return fleet.Failed
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fleet.Cancelled
+	}
+	return fleet.Failed
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/reach"
 	"github.com/currantloft/currantloft/relay"
 )
 
@@ -328,7 +329,7 @@
 	defer watchdog.Stop()
 	reply := k.deps.Engine.Send(ctx, target, relay.Request{
 		ID: it.ID, Host: j.head.Host, Method: http.MethodPost, Target: it.Path, Header: it.Header,
-		Body: it.Body, LastEventID: last,
+		Body: it.Body, LastEventID: last, Repeatable: true,
 	})
 	answer, ok := reply.(relay.Answer)
 	if !ok {
@@ -439,7 +440,7 @@
 		k.finishText(j, i)
 		return
 	}
-	if k.ctx.Err() != nil {
+	if k.ctx.Err() != nil || pathLost(reply, err) {
 		return
 	}
 	state.avoidEndpoint = target.ID()
@@ -487,8 +488,15 @@
 			return fleet.Answered
 		}
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || pathLost(reply, err) {
 		return fleet.Cancelled
 	}
 	return fleet.Failed
 }
+
+// pathLost reports whether a run ended since the path to the endpoint broke. Another path
+// works then, and the endpoint may be sound.
+func pathLost(reply relay.Reply, err error) bool {
+	lost, ok := reply.(relay.Lost)
+	return ok && lost.PathLost || errors.Is(err, reach.ErrPathLost)
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantloft/currantloft/batch"
+	"github.com/currantloft/currantloft/detour"
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/meter"
@@ -33,6 +34,7 @@
 	"github.com/currantloft/currantloft/orders"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/platform"
+	"github.com/currantloft/currantloft/reach"
 	"github.com/currantloft/currantloft/relay"
 	"github.com/currantloft/currantloft/roster"
 	"github.com/currantloft/currantloft/routes"
@@ -81,6 +83,9 @@
 		roster      *roster.Roster
 		fleet       *fleet.Fleet
 		sender      *platform.Sender
+		book        *reach.Book
+		detour      *detour.Sender
+		detours     *detour.Server
 		relay       *relay.Relay
 		keeper      *batch.Keeper
 		orderSender *orders.Sender
@@ -110,7 +115,6 @@
 	e.settings.Store(settings)
 	e.pool.Observe(countCalls(e.meter.Scope()))
 	e.store = platform.NewStore(settings.StoreAddress(), e.meter.Scope(), logger)
-	e.sender = platform.NewSender(e.fleet, options.DialEndpoint, logger)
 	self := roster.Host{
 		Name: settings.Name(), Incarnation: uint64(time.Now().UnixNano()), Domain: settings.Domain(),
 		CallerAddress: settings.CallerAddress(), PeerAddress: settings.PeerAddress(), Power: uint32(settings.CPUQuota() * milliPerCore),
@@ -121,31 +125,48 @@
 	e.store.SetPeerFallback(e.peers.peerFallback)
 	e.roster.OnDead(e.peers.notifyLost)
 	e.roster.OnLeaving(e.peers.notifyLeaving)
+	e.connect(options.DialEndpoint)
 	e.limits = newLimits(e.fleet.Limits(), e.peers, logger)
 	e.origins = newOrigins(e.peers, logger)
-	e.suspects = newSuspects(e.peers, logger)
+	e.suspects = newSuspects(e.peers, e.detour, logger)
 	e.roster.SetQuarantine(e.suspects)
 	e.roster.SetLimits(e.limits)
 	e.relay = relay.New(relay.Deps{
-		Fleet: e.fleet, Sender: e.sender, Suspects: e.suspects, Origins: e.origins,
+		Fleet: e.fleet, Sender: e.detour, Suspects: e.suspects, Origins: e.origins,
 		Domain: settings.Domain(), Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.keeper = batch.New(batch.Deps{
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
-		Fleet: e.fleet, Engine: platform.Engine{Sender: e.sender}, Peers: e.peers, IsLeader: e.isLeader,
+		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour}, Peers: e.peers, IsLeader: e.isLeader,
 		Policy: options.Policy.items, Retention: settings.Retention(), Routes: e.table.Load,
 		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.orderSender = orders.New(orders.Deps{
 		Name: self.Name, Store: e.store, Fleet: e.fleet, Policy: options.Policy.versions,
 		Lease:     orders.NewLease(e.store, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
-		Endpoints: e.sender, Routes: e.table.Load, IsLeader: e.isLeader,
+		Endpoints: e.detour, Routes: e.table.Load, IsLeader: e.isLeader,
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.mirror = mirror.New(e.store, e.peers, settings.ConfigApplyLimit(), logger, e.mirroredKinds()...)
 	return e
 }
 
+// connect assembles what connects to endpoints, directly and through other hosts.
+func (e *Edge) connect(dial detour.DialFunc) {
+	e.book = reach.NewBook(time.Now)
+	others := &detourPeers{peerClient: e.peers}
+	dialer := detour.NewDialer(detour.DialerDeps{Book: e.book, Peers: others, Dial: dial, Clock: waits.Boottime})
+	e.sender = platform.NewSender(e.fleet, dialer, e.logger)
+	e.detour = detour.NewSender(detour.SenderDeps{
+		Book: e.book, Dialer: dialer, Transport: e.sender, Hosts: others.Detours, Known: e.fleet.HasAddress,
+		Scope: e.meter.Scope(), Logger: e.logger,
+	})
+	e.detours = detour.NewServer(detour.ServerDeps{
+		Book: e.book, Dialer: dialer, Known: e.fleet.HasAddress, Leaving: e.leaving.Load, Clock: waits.Boottime,
+		Scope: e.meter.Scope(), Logger: e.logger,
+	})
+}
+
 // Run serves until the context ends, then shuts down gracefully.
 func (e *Edge) Run(ctx context.Context) error {
 	settings := e.settings.Load()
@@ -162,7 +183,7 @@
 	serviceCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(serviceCtx)
-	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run} {
+	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run, e.detour.Run} {
 		group.Go(func() error { return run(groupCtx) })
 	}
 	select {
@@ -248,6 +269,7 @@
 			}
 		}
 	}
+	e.detours.Wait(ctx)
 }
 
 // Reload applies changed times and limits. Changed names and addresses take
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -247,6 +247,9 @@
 func (e *Edge) serve(ctx context.Context, call *wirepb.Frame, stream *peers.Stream) {
 	var reply *wirepb.Frame
 	switch body := call.GetBody().(type) {
+	case *wirepb.Frame_DetourCall:
+		e.detours.Serve(ctx, body.DetourCall, stream)
+		return
 	case *wirepb.Frame_Hello:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: e.roster.Serve(body.Hello)}}
 	case *wirepb.Frame_HostLost:
--- a/edge/policy.go
+++ b/edge/policy.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"github.com/currantloft/currantloft/batch"
+	"github.com/currantloft/currantloft/detour"
 	"github.com/currantloft/currantloft/orders"
-	"github.com/currantloft/currantloft/platform"
 )
 
 // DefaultPolicy names the default policy.
@@ -22,7 +22,7 @@
 		// Policy determines how items are placed and weight versions loaded.
 		Policy Policy
 		// DialEndpoint opens connections to endpoints, nil for a net.Dialer.
-		DialEndpoint platform.DialFunc
+		DialEndpoint detour.DialFunc
 	}
 
 	// Policy combines a placement of items with a rollout of weight versions. Those
--- a/edge/suspects.go
+++ b/edge/suspects.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/currantloft/currantloft/detour"
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/poison"
@@ -34,6 +32,7 @@
 type suspects struct {
 	ledger *poison.Ledger
 	peers  *peerClient
+	detour *detour.Sender
 	probes singleflight.Group
 	logger *zap.Logger
 }
@@ -43,8 +42,8 @@
 	_ roster.Quarantine = (*suspects)(nil)
 )
 
-func newSuspects(p *peerClient, logger *zap.Logger) *suspects {
-	return &suspects{ledger: poison.NewLedger(time.Now), peers: p, logger: logger}
+func newSuspects(p *peerClient, d *detour.Sender, logger *zap.Logger) *suspects {
+	return &suspects{ledger: poison.NewLedger(time.Now), peers: p, detour: d, logger: logger}
 }
 
 // Crashes returns how many endpoints a request has crashed in succession.
@@ -133,15 +132,13 @@
 }
 
 // exited reports whether an endpoint's process has ended: its address refuses
-// connections. Requests that break off at the same time share one probe.
+// connections, also those of other hosts. Requests that break off at the same time share
+// one probe.
 func (s *suspects) exited(ctx context.Context, target fleet.Target) bool {
 	result, _, _ := s.probes.Do(target.ID(), func() (any, error) {
-		dialer := &net.Dialer{Timeout: probeTimeout}
-		conn, err := dialer.DialContext(context.WithoutCancel(ctx), "tcp", target.Address())
-		if err == nil {
-			return false, conn.Close()
-		}
-		return errors.Is(err, syscall.ECONNREFUSED), nil
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		defer cancel()
+		return s.detour.Refused(ctx, target.Address()) && !s.detour.Reached(ctx, target.Address()), nil
 	})
 	return result == true
 }
--- a/event/event.go
+++ b/event/event.go
@@ -67,6 +67,10 @@
 	EndpointLimitRejected = define(508, "endpoint_limit_rejected", zapcore.WarnLevel)
 	PermitsNotGranted     = define(509, "permits_not_granted", zapcore.InfoLevel)
 
+	EndpointPathBroken   = define(510, "endpoint_path_broken", zapcore.WarnLevel)
+	EndpointPathRestored = define(511, "endpoint_path_restored", zapcore.InfoLevel)
+	DetourDataTooOld     = define(512, "detour_data_too_old", zapcore.InfoLevel)
+
 	StepOpened       = define(600, "step_opened", zapcore.InfoLevel)
 	StepSealed       = define(601, "step_sealed", zapcore.InfoLevel)
 	StepDelivered    = define(602, "step_delivered", zapcore.InfoLevel)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -266,6 +266,18 @@
 	return states
 }
 
+// HasAddress reports whether an endpoint listens at the address.
+func (f *Fleet) HasAddress(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.endpoints {
+		if e.entry.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // All returns the states of all endpoints, sorted by ID.
 func (f *Fleet) All() []State {
 	f.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -39,6 +39,9 @@
 		// Resumes is the ID of the attempt that brought the first event of a stream which
 		// the caller resumes, empty for a new stream.
 		Resumes string
+		// Repeatable reports whether the request may be sent again after an attempt that may
+		// have run.
+		Repeatable bool
 		// Caller is a hash of the request's headers that identifies the caller. It is
 		// the same for all attempts of one caller.
 		Caller uint64
@@ -76,7 +79,12 @@
 	}
 
 	// Lost means that the request may have run but no answer arrived.
-	Lost struct{ Cause error }
+	Lost struct {
+		Cause error
+		// PathLost reports whether only the path to the endpoint broke, which says
+		// nothing of the endpoint.
+		PathLost bool
+	}
 
 	// Sender sends one attempt to an endpoint.
 	Sender interface {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -143,6 +143,7 @@
 	if !request.Deadline.IsZero() && request.Deadline.Add(-answerMargin).Before(deadline) {
 		deadline = request.Deadline.Add(-answerMargin)
 	}
+	request.Repeatable = route.Repeatable()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	active := &activeRequest{
 		Relay: r, request: request, route: route, service: route.Service(request.ID),
@@ -382,12 +383,12 @@
 			return fleet.Full
 		}
 		return fleet.Failed
-	default:
-		if ctx.Err() != nil {
+	case Lost:
+		if ctx.Err() != nil || r.PathLost {
 			return fleet.Cancelled
 		}
-		return fleet.Failed
 	}
+	return fleet.Failed
 }
 
 func causeOf(reply Reply) error {
