fix(orders): the sender of orders moves to a host that reaches the endpoints

Cause: the sender of orders was chosen among all hosts that answer hellos. Class: a duty stays with a host that can't do it.

Change: hosts say in their hellos how many endpoints only other hosts reach (a path that failed twice while another one works). Of the hosts that reach most, the first one sends. A host that stops sending releases its lease with the age of its last order, so the next one waits only until that order is as old as if the lease had expired. A connection for an order that takes long no longer outlives the lease: the body is written only while it is held.

TestBothActAroundRelease: 100,000 sequences of acquisitions, releases, lost answers and pauses; it fails when the age is ignored.

Ruled out: sending orders through other hosts.

--- a/detour/sender.go
+++ b/detour/sender.go
@@ -52,9 +52,12 @@
 		// Hosts returns the hosts through which this one may connect.
 		Hosts func() []reach.Host
 		// Known reports whether an endpoint listens at the address.
-		Known  func(address string) bool
-		Scope  tally.Scope
-		Logger *zap.Logger
+		Known func(address string) bool
+		// OnUnreached is called when the number of endpoints that only other hosts reach
+		// has changed, and every announceInterval while there are some.
+		OnUnreached func(ctx context.Context, endpoints int)
+		Scope       tally.Scope
+		Logger      *zap.Logger
 	}
 
 	// Sender sends requests to endpoints. It is safe for concurrent use.
--- a/detour/watch.go
+++ b/detour/watch.go
@@ -21,6 +21,9 @@
 	// or within its answer, before it is given up on a broken path.
 	minSilence       = 150 * time.Millisecond
 	minStreamSilence = 300 * time.Millisecond
+	// announceInterval is how often the other hosts are told how many endpoints only they
+	// reach.
+	announceInterval = 2 * time.Second
 	// cleanInterval is how often the records of endpoints that are gone are dropped.
 	cleanInterval = 10 * time.Second
 )
@@ -30,7 +33,7 @@
 func (s *Sender) Run(ctx context.Context) error {
 	var checks sync.WaitGroup
 	defer checks.Wait()
-	cleanAt := time.Now().Add(cleanInterval)
+	cleanAt, announceAt, unreached := time.Now().Add(cleanInterval), time.Time{}, 0
 	for ctx.Err() == nil {
 		if !s.deps.Book.Watching() {
 			select {
@@ -47,6 +50,10 @@
 		}
 		s.giveUpSilent()
 		s.logBroken()
+		if n := s.deps.Book.Unreached(); n != unreached || n > 0 && time.Now().After(announceAt) {
+			unreached, announceAt = n, time.Now().Add(announceInterval)
+			checks.Go(func() { s.deps.OnUnreached(ctx, n) })
+		}
 		if now := time.Now(); now.After(cleanAt) {
 			cleanAt = now.Add(cleanInterval)
 			s.deps.Book.Forget(s.deps.Known)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -144,7 +144,7 @@
 	e.orderSender = orders.New(orders.Deps{
 		Name: self.Name, Store: e.store, Fleet: e.fleet, Policy: options.Policy.versions,
 		Lease:     orders.NewLease(e.store, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
-		Endpoints: e.detour, Routes: e.table.Load, IsLeader: e.isLeader,
+		Endpoints: e.detour, Routes: e.table.Load, IsLeader: e.peers.SendsOrders,
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.mirror = mirror.New(e.store, e.peers, settings.ConfigApplyLimit(), logger, e.mirroredKinds()...)
@@ -159,7 +159,7 @@
 	e.sender = platform.NewSender(e.fleet, dialer, e.logger)
 	e.detour = detour.NewSender(detour.SenderDeps{
 		Book: e.book, Dialer: dialer, Transport: e.sender, Hosts: others.Detours, Known: e.fleet.HasAddress,
-		Scope: e.meter.Scope(), Logger: e.logger,
+		OnUnreached: e.roster.SetUnreached, Scope: e.meter.Scope(), Logger: e.logger,
 	})
 	e.detours = detour.NewServer(detour.ServerDeps{
 		Book: e.book, Dialer: dialer, Known: e.fleet.HasAddress, Leaving: e.leaving.Load, Clock: waits.Boottime,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -134,6 +136,21 @@
 	return len(names), max(1, len(names))
 }
 
+// SendsOrders reports whether this node is the one that sends orders to endpoints: of the
+// nodes that may own batches and that reach most endpoints, the first one.
+func (p *peerClient) SendsOrders() bool {
+	if !p.Discovered() {
+		return false
+	}
+	names, fewest := p.Keepers(), uint32(math.MaxUint32)
+	for _, name := range names {
+		fewest = min(fewest, p.Unreached(name))
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return p.Unreached(name) > fewest })
+	first, ok := rendez.First(leaderKey, names)
+	return ok && first == p.Self().Name
+}
+
 // send sends a frame to the hosts and retries a failed call once within
 // notifyTimeout. The returned group is done once each host has answered or failed.
 func (p *peerClient) send(hosts []roster.Host, call *wirepb.Frame) *sync.WaitGroup {
--- a/integ/links_test.go
+++ b/integ/links_test.go
@@ -1,14 +1,18 @@
 package integ
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/currantloft/currantloft/edge"
 	"github.com/currantloft/currantloft/fakes/links"
 	"github.com/currantloft/currantloft/platform/fake"
 )
@@ -123,3 +127,103 @@
 		})
 	}
 }
+
+// orderBound is the users' bound for a step: its results are due this long after it was
+// asked, and need the version that the orders bring.
+const orderBound = 7500 * time.Millisecond
+
+// orderSender returns the host that sends the orders.
+func (s *site) orderSender() *host {
+	s.t.Helper()
+	var found *host
+	s.eventually("one host sends the orders", func() bool {
+		for _, h := range s.hosts {
+			status, body := s.send(http.MethodGet, h.adminAddress, "/v1/dump", "", nil)
+			var state edge.State
+			if status == http.StatusOK && json.Unmarshal(body, &state) == nil && state.Orders.Held {
+				found = h
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// loads counts the endpoints that have loaded a version.
+func (s *site) loads(version int) int {
+	n := 0
+	for _, e := range s.engines {
+		if slices.Contains(e.Versions(), fmt.Sprintf("%s/%d", testModel, version)) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *site) nameVersion(version int) {
+	s.putObject("versions", testModel, map[string]any{"model": testModel, "version": version})
+}
+
+// checkOneHolderAtATime checks that the epochs of the orders that endpoints accepted never
+// decrease and belong to one holder each.
+func (s *site) checkOneHolderAtATime(t *testing.T) {
+	t.Helper()
+	holders := make(map[string]string)
+	for _, e := range s.engines {
+		last := ""
+		for _, order := range e.Orders() {
+			fields := strings.Split(order, "/")
+			holder, epoch := fields[0], fields[1]
+			if before, ok := holders[epoch]; ok && before != holder {
+				t.Errorf("epoch %s has the holders %s and %s", epoch, before, holder)
+			}
+			if holders[epoch] = holder; epoch < last {
+				t.Errorf("an endpoint accepted an order of epoch %s after one of epoch %s", epoch, last)
+			}
+			last = epoch
+		}
+	}
+}
+
+// TestOrdersStayAtHostWithoutEndpoints cuts the host that sends the orders off from
+// endpoints: another host must send them in time for a step.
+func TestOrdersStayAtHostWithoutEndpoints(t *testing.T) {
+	for name, fault := range map[string]links.Fault{
+		"all links hang":    {New: links.NewHang, Open: links.OpenHang},
+		"all links refused": {New: links.NewRefuse, Open: links.OpenReset},
+		"one link hangs":    {Address: "first engine", New: links.NewHang, Open: links.OpenHang},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLinkSite(t, linkSiteHosts, siteTimeout)
+			s.nameVersion(2)
+			leader := s.orderSender()
+			s.eventually("version 2 is loaded", func() bool { return s.loads(2) > 0 })
+			if fault.Address != "" {
+				fault.Address = s.engines[0].Address()
+			}
+			s.breakLinks(leader, fault)
+			for version := 3; version <= 4; version++ {
+				s.nameVersion(version)
+				named := time.Now()
+				// Half of the endpoints keep the version before.
+				s.eventually("a version is loaded", func() bool { return s.loads(version) > 0 || time.Since(named) > orderBound })
+				took := time.Since(named)
+				t.Logf("version %d was loaded %v after it was named", version, took)
+				if took > orderBound {
+					t.Errorf("version %d was not loaded within %v", version, orderBound)
+				}
+			}
+			s.eventually("no endpoint is two versions behind", func() bool {
+				return !slices.ContainsFunc(s.engines, func(e *fake.Engine) bool {
+					loaded := e.Versions()
+					return !slices.Contains(loaded, testModel+"/3") && !slices.Contains(loaded, testModel+"/4")
+				})
+			})
+			s.breakLinks(leader)
+			s.nameVersion(5)
+			s.eventually("a version is loaded after the links are back", func() bool { return s.loads(5) > 0 })
+			s.checkOneHolderAtATime(t)
+		})
+	}
+}
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -27,6 +27,10 @@
 		Epoch       uint64 `json:"epoch"`
 		// Renewals makes each renewal change the stored object.
 		Renewals uint64 `json:"renewals"`
+		// Released is true if the holder sends no more orders, and IdleMs is how long ago
+		// it had sent the last one, in milliseconds.
+		Released bool  `json:"released,omitempty"`
+		IdleMs   int64 `json:"idle_ms,omitempty"`
 	}
 
 	// Lease is one node's view of the lease. It is safe for concurrent use.
@@ -72,6 +76,9 @@
 	return l.seen.Epoch, l.now() < l.expiresAt
 }
 
+// Now returns the time of the lease's clock, which includes suspension.
+func (l *Lease) Now() time.Duration { return l.now() }
+
 // Remaining returns the remaining time of this node's own lease.
 func (l *Lease) Remaining() time.Duration {
 	l.mu.Lock()
@@ -90,7 +97,7 @@
 		return l.readRecord(ctx)
 	}
 	own := seen.Holder == l.holder && seen.Incarnation == l.incarnation
-	if !own && revision > 0 && l.now()-seenAt < l.length+l.takeoverDelay {
+	if !own && revision > 0 && l.now()-seenAt < l.takeoverWait(seen) {
 		return errLeaseHeld
 	}
 	next := leaseRecord{Holder: l.holder, Incarnation: l.incarnation, Epoch: seen.Epoch, Renewals: seen.Renewals + 1}
@@ -120,6 +127,41 @@
 	return nil
 }
 
+// takeoverWait returns how long after its record was first read another node's lease may
+// not be taken over: its last order must be as old as if the lease had expired.
+func (l *Lease) takeoverWait(seen leaseRecord) time.Duration {
+	wait := l.length + l.takeoverDelay
+	if seen.Released {
+		wait -= time.Duration(seen.IdleMs) * time.Millisecond
+	}
+	return wait
+}
+
+// Release gives up this node's lease, so that the next holder need not wait until it
+// expires. Idle is how long ago this node sent its last order. It must not be called while
+// an order may be sent.
+func (l *Lease) Release(ctx context.Context, idle time.Duration) error {
+	l.mu.Lock()
+	released, revision := l.seen, l.revision
+	own := l.recordCurrent && revision > 0 && released.Holder == l.holder && released.Incarnation == l.incarnation
+	l.expiresAt = 0
+	l.recordCurrent = false
+	l.mu.Unlock()
+	if !own || released.Released {
+		return nil
+	}
+	released.Renewals++
+	released.Released, released.IdleMs = true, idle.Milliseconds()
+	spec, err := json.Marshal(released)
+	if err != nil {
+		return fmt.Errorf("encoding the lease: %w", err)
+	}
+	if _, err := l.store.Replace(ctx, kindLeases, leaseName, spec, revision); err != nil {
+		return fmt.Errorf("releasing the lease: %w", err)
+	}
+	return nil
+}
+
 // invalidate makes the next Acquire read the record first. A lease that this node
 // holds stays valid until it expires.
 func (l *Lease) invalidate() {
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -42,6 +42,9 @@
 		Epoch uint64
 		// Accepted is how many orders the endpoint had accepted before.
 		Accepted int64
+		// Permitted reports whether the holder still holds its lease. It is asked once
+		// more when there is a connection, as that may take long.
+		Permitted func() bool
 	}
 
 	// Report is an endpoint's state as it reports it.
--- a/orders/search_test.go
+++ b/orders/search_test.go
@@ -9,8 +9,11 @@
 	"github.com/currantloft/currantloft/fakes/memory"
 )
 
-// searchDepth is the number of steps in each sequence.
-const searchDepth = 6
+// searchDepth and releaseDepth are the numbers of steps in each sequence.
+const (
+	searchDepth  = 6
+	releaseDepth = 5
+)
 
 // step is one step of a sequence.
 type step struct {
@@ -18,8 +21,10 @@
 	// node is the index of the node that acquires the lease, -1 for none.
 	node int
 	// lost reports whether the answer to the write is lost.
-	lost  bool
-	pause time.Duration
+	lost bool
+	// release reports whether the node releases the lease instead.
+	release bool
+	pause   time.Duration
 }
 
 // TestAllShortSequences runs every sequence of six steps on two nodes:
@@ -27,20 +32,37 @@
 // the lease at the same time, that each epoch has one holder and that epochs
 // never decrease.
 func TestAllShortSequences(t *testing.T) {
-	steps := []step{
-		{name: "a acquires", node: 0},
-		{name: "b acquires", node: 1},
-		{name: "a acquires, answer lost", node: 0, lost: true},
-		{name: "b acquires, answer lost", node: 1, lost: true},
-		{name: "pause of the margin", node: -1, pause: leaseMargin},
-		{name: "pause shorter than a lease", node: -1, pause: testLease - leaseMargin/2},
-		{name: "pause longer than a lease", node: -1, pause: testLease + testTakeoverDelay},
-	}
+	checkAllSequences(t, searchDepth, acquisitions)
+}
+
+// TestBothActAroundRelease is TestAllShortSequences with nodes that also release the
+// lease. It checks too that a node holds a released lease only once the last moment at
+// which another one held it is as long ago as if the lease had expired.
+func TestBothActAroundRelease(t *testing.T) {
+	checkAllSequences(t, releaseDepth, append([]step{
+		{name: "a releases", node: 0, release: true},
+		{name: "b releases", node: 1, release: true},
+		{name: "a releases, answer lost", node: 0, release: true, lost: true},
+	}, acquisitions...))
+}
+
+var acquisitions = []step{
+	{name: "a acquires", node: 0},
+	{name: "b acquires", node: 1},
+	{name: "a acquires, answer lost", node: 0, lost: true},
+	{name: "b acquires, answer lost", node: 1, lost: true},
+	{name: "pause of the margin", node: -1, pause: leaseMargin},
+	{name: "pause shorter than a lease", node: -1, pause: testLease - leaseMargin/2},
+	{name: "pause longer than a lease", node: -1, pause: testLease + testTakeoverDelay},
+}
+
+func checkAllSequences(t *testing.T, depth int, steps []step) {
+	t.Helper()
 	sequences, heldSteps := 0, 0
 	var sequence []step
 	var extend func()
 	extend = func() {
-		if len(sequence) == searchDepth {
+		if len(sequence) == depth {
 			sequences++
 			heldSteps += runSequence(t, sequence)
 			return
@@ -66,6 +88,7 @@
 	nodes := []*Lease{newLease(store, "a", clk), newLease(store, "b", clk)}
 	holders := make(map[uint64]int)
 	lastEpoch := uint64(0)
+	lastHeld, released, holder := make([]time.Duration, len(nodes)), make([]bool, len(nodes)), -1
 	fail := func(why string) {
 		t.Helper()
 		names := make([]string, 0, len(sequence))
@@ -76,7 +99,17 @@
 	}
 	for _, s := range sequence {
 		clk.at += s.pause
-		if s.node >= 0 {
+		if s.release {
+			if _, ok := nodes[s.node].Held(); ok {
+				released[s.node] = true
+			}
+			if s.lost {
+				store.SetFaults(memory.Faults{LoseAnswers: 1})
+			}
+			// A release that is lost leaves the lease to expire.
+			_ = nodes[s.node].Release(t.Context(), clk.at-lastHeld[s.node])
+			store.SetFaults(memory.Faults{})
+		} else if s.node >= 0 {
 			// The first call reads the record, the second acquires the lease.
 			for range 2 {
 				if s.lost {
@@ -103,6 +136,11 @@
 				fail("a lower epoch after a higher one")
 			}
 			holders[epoch], lastEpoch = k, epoch
+			if holder >= 0 && holder != k && released[holder] && clk.at-lastHeld[holder] < testLease+testTakeoverDelay {
+				fail("a node holds the lease too soon after its release")
+			}
+			holder, released[k] = k, false
+			lastHeld[k] = clk.at
 		}
 		if len(held) > 1 {
 			fail("two nodes hold the lease")
--- a/orders/sender.go
+++ b/orders/sender.go
@@ -7,6 +7,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -32,6 +33,8 @@
 	// retryDelay is the pause before the next order to an endpoint that was
 	// unreachable or busy, or did not accept an order.
 	retryDelay = 500 * time.Millisecond
+	// releaseTimeout limits giving up the lease, which otherwise expires.
+	releaseTimeout = 500 * time.Millisecond
 	// firstVersion is the version that endpoints start with.
 	firstVersion = 1
 )
@@ -70,6 +73,11 @@
 		retryAt map[string]time.Time
 		wake    chan struct{}
 		tasks   sync.WaitGroup
+
+		// sending is held for reading while an order may be sent.
+		sending sync.RWMutex
+		// sentAt is when the last order was sent, on the clock of the lease.
+		sentAt atomic.Int64
 	}
 )
 
@@ -110,6 +118,18 @@
 		timer.Stop()
 	}
 	event.OrderSenderStopped.Log(s.deps.Logger)
+	s.release(ctx)
+}
+
+// release gives up the lease once no order can be sent any more.
+func (s *Sender) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	s.sending.Lock()
+	defer s.sending.Unlock()
+	if err := s.deps.Lease.Release(ctx, s.deps.Lease.Now()-time.Duration(s.sentAt.Load())); err != nil {
+		event.LeaseFailed.Log(s.deps.Logger, zap.Error(err))
+	}
 }
 
 // RecordNamedVersion records a version that a trainer has named.
@@ -212,14 +232,10 @@
 	case report.Busy:
 		return retryDelay
 	}
-	epoch, held := s.deps.Lease.Held()
+	outcome, epoch, held := s.send(ctx, load, report)
 	if !held {
 		return 0
 	}
-	outcome := s.deps.Endpoints.SendOrder(ctx, target, Order{
-		Model: load.Desired.Model, Version: load.Desired.Version, Mode: Retain,
-		Holder: s.deps.Name, Epoch: epoch, Accepted: report.Accepted,
-	})
 	s.deps.Scope.Tagged(map[string]string{"outcome": strings.TrimPrefix(fmt.Sprintf("%T", outcome), "orders.")}).
 		Counter("orders").Inc(1)
 	fields := []zap.Field{
@@ -247,6 +263,28 @@
 	}
 }
 
+// send sends an order unless this node no longer holds the lease.
+func (s *Sender) send(ctx context.Context, load PlannedLoad, report Report) (outcome Outcome, epoch uint64, held bool) {
+	s.sending.RLock()
+	defer s.sending.RUnlock()
+	epoch, held = s.deps.Lease.Held()
+	if !held {
+		return nil, epoch, false
+	}
+	outcome = s.deps.Endpoints.SendOrder(ctx, load.State.Target(), Order{
+		Model: load.Desired.Model, Version: load.Desired.Version, Mode: Retain,
+		Holder: s.deps.Name, Epoch: epoch, Accepted: report.Accepted,
+		Permitted: func() bool {
+			now, held := s.deps.Lease.Held()
+			return held && now == epoch
+		},
+	})
+	if _, rejected := outcome.(Rejected); !rejected {
+		s.sentAt.Store(int64(s.deps.Lease.Now()))
+	}
+	return outcome, epoch, true
+}
+
 // awaitVersion waits until the endpoint's entry or one of its answers reports
 // the version, the endpoint is removed, or the limit has passed.
 func (s *Sender) awaitVersion(ctx context.Context, load PlannedLoad, limit time.Duration) {
--- a/roster/hello.go
+++ b/roster/hello.go
@@ -185,7 +185,7 @@
 // finds is to be reported to the other nodes.
 func (r *Roster) hello(ctx context.Context, hosts []Host, announce bool) {
 	r.mu.Lock()
-	call := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: toHostInfo(r.self), Digest: r.digest(), Settled: r.settled()}}}
+	call := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: r.selfInfo(), Digest: r.digest(), Settled: r.settled()}}}
 	r.mu.Unlock()
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentHellos)
@@ -343,7 +343,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply := &wirepb.HelloReply{From: toHostInfo(r.self)}
+	reply := &wirepb.HelloReply{From: r.selfInfo()}
 	if r.quarantine != nil {
 		reply.Refused = r.quarantine.ListQuarantined()
 	}
@@ -383,6 +383,13 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s/%d/%t", h.Name, h.Incarnation, h.Leaving))
 }
 
+// selfInfo describes this host, as its hellos do. The caller holds the lock.
+func (r *Roster) selfInfo() *wirepb.HostInfo {
+	info := toHostInfo(r.self)
+	info.Unreached = r.unreached
+	return info
+}
+
 func toHostInfo(h Host) *wirepb.HostInfo {
 	return &wirepb.HostInfo{
 		Name: h.Name, Incarnation: h.Incarnation, Domain: h.Domain,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -79,6 +79,9 @@
 	discoveryDelay = 300 * time.Millisecond
 	// registerRetryDelay is the pause between two attempts to register.
 	registerRetryDelay = 300 * time.Millisecond
+	// unreachedMaxAge is how long a host's number of endpoints that it does not reach is
+	// used after its last hello or reply: some hellos to the hubs it has no others with.
+	unreachedMaxAge = 5 * time.Second
 	// deadRetention is how long a dead host is remembered.
 	deadRetention = 90 * time.Second
 	// maxConcurrentHellos bounds the hellos in flight.
@@ -132,6 +135,8 @@
 
 		mu   sync.Mutex
 		self Host
+		// unreached is the number of endpoints that only other hosts reach.
+		unreached uint32
 		// discoveredAt is when the node is expected to have learned of all nodes that
 		// registered before it; zero until it has registered.
 		discoveredAt time.Time
@@ -155,6 +160,10 @@
 		// confirmed is true once the host itself has sent or answered a hello; before,
 		// only the store or another node has reported it.
 		confirmed bool
+		// unreached is the number of endpoints that only others reach, and unreachedAt when
+		// the host said so.
+		unreached   uint32
+		unreachedAt time.Time
 		// lastHeard is when the host itself was last heard, or when a dead one was found
 		// dead; of a host that others have reported it is when it started.
 		lastHeard time.Time
@@ -213,6 +222,34 @@
 	r.hello(ctx, r.Hubs(), true)
 }
 
+// SetUnreached records how many endpoints only other hosts reach, and tells the hubs if
+// that has changed. While there are some, it is to be called again within
+// unreachedMaxAge.
+func (r *Roster) SetUnreached(ctx context.Context, endpoints int) {
+	r.mu.Lock()
+	changed := r.unreached != uint32(endpoints) || endpoints > 0
+	r.unreached = uint32(endpoints)
+	r.mu.Unlock()
+	if changed {
+		r.hello(ctx, r.Hubs(), false)
+	}
+}
+
+// Unreached returns the number of endpoints that a host says only others reach, 0 if it
+// has not said so lately.
+func (r *Roster) Unreached(name string) uint32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name == r.self.Name {
+		return r.unreached
+	}
+	p := r.hosts[name]
+	if p == nil || time.Since(p.unreachedAt) > unreachedMaxAge {
+		return 0
+	}
+	return p.unreached
+}
+
 // Alive reports whether this incarnation of the host runs, leaving or not.
 func (r *Roster) Alive(name string, incarnation uint64) bool {
 	r.mu.Lock()
@@ -414,6 +451,7 @@
 	p := r.hosts[h.Name]
 	if p != nil && !p.dead && p.host == h {
 		p.confirmed, p.failures, p.lastHeard = true, 0, time.Now()
+		p.unreached, p.unreachedAt = info.GetUnreached(), time.Now()
 		return Host{}, false
 	}
 	// An incarnation that is leaving never stops leaving: a hello without the mark
@@ -427,7 +465,9 @@
 		event.HostLeaving.Log(r.logger, zap.String("host", h.Name))
 	}
 	r.invalidate()
-	r.hosts[h.Name] = &peer{host: h, lastHeard: time.Now(), confirmed: true}
+	r.hosts[h.Name] = &peer{
+		host: h, lastHeard: time.Now(), confirmed: true, unreached: info.GetUnreached(), unreachedAt: time.Now(),
+	}
 	if p != nil && p.dead && r.topology().isHub[h.Name] {
 		r.statusChangedAt = time.Now()
 	}
