test(integ): items, streams and requests that run once through lost links; the soak loses links

TestItemsWaitForKeeperWithoutEndpoints, TestStreamsEndWithLinksOfTheirHost and TestRequestRunsTwiceAfterLostLinks cover what a host does beside plain requests: items and reward calls that it keeps, streams in flight, requests that may run once, with links that hang, reset, refuse or live on, of an endpoint, a service or all.

The soak breaks links too, of one host, a failure domain or all but one, beside kills, stops, pauses, limits and a silent store.

--- a/integ/links_test.go
+++ b/integ/links_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"os/exec"
 	"path/filepath"
@@ -43,20 +45,28 @@
 
 // newLinkSite starts a site whose hosts can lose their links to endpoints.
 func newLinkSite(t *testing.T, hosts int, limit time.Duration) *site {
+	t.Helper()
+	engine := fake.EngineOptions{Software: "v1"}
+	return newLinkSiteWith(t, hosts, limit, engine, engine, engine)
+}
+
+// newLinkSiteWith is newLinkSite with the given engines.
+func newLinkSiteWith(t *testing.T, hosts int, limit time.Duration, engines ...fake.EngineOptions) *site {
 	t.Helper()
 	binary, err := gatedBinary()
 	if err != nil {
 		t.Fatal(err)
 	}
-	engine := fake.EngineOptions{Software: "v1"}
-	return newSiteOf(t, binary, hosts, limit, engine, engine, engine)
+	return newSiteOf(t, binary, hosts, limit, engines...)
 }
 
 // breakLinks replaces the faults of the links from a host to endpoints.
 func (s *site) breakLinks(h *host, faults ...links.Fault) {
 	s.t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if err := links.Write(h.links, faults...); err != nil {
-		s.t.Fatal(err)
+		s.t.Error(err)
 	}
 }
 
@@ -227,3 +237,145 @@
 		})
 	}
 }
+
+// resultBound is the users' bound from the submission of a batch to its results.
+const resultBound = 7500 * time.Millisecond
+
+// TestItemsWaitForKeeperWithoutEndpoints cuts hosts off from the engines, or from the
+// endpoints of reward calls, while they run the items of batches, and submits more
+// batches to them: all results must come in time.
+func TestItemsWaitForKeeperWithoutEndpoints(t *testing.T) {
+	for name, service := range map[string]func(*site) []*fake.Engine{
+		"from engines":           func(s *site) []*fake.Engine { return s.engines },
+		"from reward endpoints":  func(s *site) []*fake.Engine { return s.plains },
+		"from all but one":       func(s *site) []*fake.Engine { return s.engines[1:] },
+		"from engines, refusing": func(s *site) []*fake.Engine { return s.engines },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newLinkSite(t, linkSiteHosts, siteTimeout)
+			cut := s.hosts[:4]
+			fault := links.Fault{New: links.NewHang, Open: links.OpenHang}
+			if strings.HasSuffix(name, "refusing") {
+				fault = links.Fault{New: links.NewRefuse, Open: links.OpenReset}
+			}
+			var faults []links.Fault
+			for _, e := range service(s) {
+				fault.Address = e.Address()
+				faults = append(faults, fault)
+			}
+			started := time.Now()
+			for i, h := range cut {
+				id := fmt.Sprintf("before-%d", i)
+				checkStatus(t, "a batch before the cut", s.submit(h, id, newBatchBody(id, 3, 1)), http.StatusAccepted)
+			}
+			for _, h := range cut {
+				s.breakLinks(h, faults...)
+			}
+			for i := range cut {
+				s.readComplete(fmt.Sprintf("before-%d", i), newResultHistory(), 9, 1)
+			}
+			checkTook(t, "batches from before the cut", started, resultBound)
+			started = time.Now()
+			for i, h := range cut {
+				id := fmt.Sprintf("within-%d", i)
+				checkStatus(t, "a batch within the cut", s.submit(h, id, newBatchBody(id, 3, 1)), http.StatusAccepted)
+			}
+			for i := range cut {
+				s.readComplete(fmt.Sprintf("within-%d", i), newResultHistory(), 9, 1)
+			}
+			checkTook(t, "batches within the cut", started, resultBound)
+		})
+	}
+}
+
+func checkTook(t *testing.T, what string, started time.Time, bound time.Duration) {
+	t.Helper()
+	took := time.Since(started)
+	t.Logf("%s took %v", what, took)
+	if took > bound {
+		t.Errorf("%s took %v, want at most %v", what, took, bound)
+	}
+}
+
+// TestStreamsEndWithLinksOfTheirHost cuts the host of a stream off after its second event.
+// The stream must go on through other hosts, without a gap.
+func TestStreamsEndWithLinksOfTheirHost(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			slow := fake.EngineOptions{Software: "v1", Mark: true}
+			s := newLinkSiteWith(t, 3, siteTimeout, slow, slow, slow)
+			h := s.hosts[0]
+			for n := range 4 {
+				id, p := fmt.Sprint("talk-", n), &pieces{software: make(map[string]bool)}
+				s.stream(h, id, id, p, func() {
+					if p.next == 2 {
+						s.breakLinks(h, fault)
+					}
+				})
+				if p.next != fake.EventCount(id) {
+					t.Errorf("stream %s ended after %d of %d events", id, p.next, fake.EventCount(id))
+				}
+				s.breakLinks(h)
+				time.Sleep(time.Second)
+			}
+		})
+	}
+}
+
+// TestRequestRunsTwiceAfterLostLinks breaks and heals the links of hosts while requests
+// that may run once are sent through them: none may run twice, nor at all if its caller
+// was told that it has not run.
+func TestRequestRunsTwiceAfterLostLinks(t *testing.T) {
+	s := newLinkSite(t, linkSiteHosts, siteTimeout)
+	random := rand.New(rand.NewPCG(1, 1))
+	names := slices.Sorted(maps.Keys(linkFaults))
+	stop, statuses := make(chan struct{}), make(map[string]int)
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	for i, h := range s.hosts {
+		tasks.Go(func() {
+			n := 0
+			repeatUntil(stop, 5*time.Millisecond, func() {
+				n++
+				id := fmt.Sprintf("once-%d-%d", i, n)
+				status, _ := s.send(http.MethodPost, h.callerAddress, "/once/x", id, []byte(id))
+				mu.Lock()
+				statuses[id] = status
+				mu.Unlock()
+			})
+		})
+	}
+	for range 12 {
+		fault := linkFaults[names[random.IntN(len(names))]]
+		for _, h := range s.hosts[:1+random.IntN(len(s.hosts)-1)] {
+			s.breakLinks(h, fault)
+		}
+		time.Sleep(time.Duration(200+random.IntN(800)) * time.Millisecond)
+		for _, h := range s.hosts {
+			s.breakLinks(h)
+		}
+		time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+	}
+	close(stop)
+	tasks.Wait()
+	// What was held up has arrived by then.
+	time.Sleep(noticeTime)
+	runs, served := make(map[string]int), 0
+	for _, e := range s.plains {
+		for _, run := range e.Runs() {
+			runs[run.ID]++
+		}
+	}
+	for id, status := range statuses {
+		if status == http.StatusOK {
+			served++
+		}
+		if runs[id] > 1 {
+			t.Errorf("request %s ran %d times", id, runs[id])
+		}
+		if status == http.StatusServiceUnavailable && runs[id] > 0 {
+			t.Errorf("request %s ran and its caller was told that it has not run", id)
+		}
+	}
+	t.Logf("%d of %d requests served", served, len(statuses))
+}
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/currantloft/currantloft/fakes/links"
 	"github.com/currantloft/currantloft/fakes/memory"
 	"github.com/currantloft/currantloft/platform/fake"
 )
@@ -51,6 +54,8 @@
 	rewardRandom *rand.Rand
 	// limitRandom draws the limits that endpoints name, for the same reason.
 	limitRandom *rand.Rand
+	// linkRandom draws the links that hosts lose, for the same reason.
+	linkRandom *rand.Rand
 	// background counts restarts and crashing requests that are not finished.
 	background         sync.WaitGroup
 	mu                 sync.Mutex
@@ -70,7 +75,8 @@
 }
 
 // TestSoak runs real processes under random faults: kills, restarts and pauses of
-// hosts, failures of the store, broken streams and requests that crash endpoints.
+// hosts, failures of the store, lost links to endpoints, broken streams and requests that
+// crash endpoints.
 // Accepted batches must complete with the same results at all hosts, streams must
 // be complete, and non-idempotent requests must not run twice, nor at all after a
 // refusal.
@@ -111,10 +117,11 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
-		site: newSiteWith(t, soakHosts, soakTimeout, fake.EngineOptions{Software: "v1", Mark: true},
+		site: newLinkSiteWith(t, soakHosts, soakTimeout, fake.EngineOptions{Software: "v1", Mark: true},
 			fake.EngineOptions{Software: "v1", Mark: true}, fake.EngineOptions{Software: "v2", Mark: true}),
 		random: rand.New(rand.NewPCG(seed, 0)), extraRandom: rand.New(rand.NewPCG(seed, 1)),
 		rewardRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)),
+		linkRandom: rand.New(rand.NewPCG(seed, 4)),
 		restarting: make(map[*host]bool),
 	}
 	stop := make(chan struct{})
@@ -165,6 +172,7 @@
 		}
 		s.disturbRewardCalls(duration)
 		s.nameLimit(duration)
+		s.loseLinks(duration)
 		if s.extraRandom.IntN(5) == 0 {
 			// The request crashes each endpoint that runs it; its answer is not checked.
 			path := []string{plainPath, "/once/", streamPath}[s.extraRandom.IntN(3)]
@@ -191,6 +199,38 @@
 	}
 }
 
+// loseLinks breaks links from hosts to endpoints for the given time, one in three times:
+// of one host, of a failure domain or of all hosts but one, to one endpoint, to those of a
+// service or to all.
+func (s *soak) loseLinks(duration time.Duration) {
+	spared := s.linkRandom.IntN(len(s.hosts))
+	var hosts []*host
+	switch s.linkRandom.IntN(9) {
+	case 0:
+		hosts = s.hosts[spared : spared+1]
+	case 1:
+		for i := spared % 2; i < len(s.hosts); i += 2 {
+			hosts = append(hosts, s.hosts[i])
+		}
+	case 2:
+		hosts = append(append(hosts, s.hosts[:spared]...), s.hosts[spared+1:]...)
+	default:
+		return
+	}
+	names := slices.Sorted(maps.Keys(linkFaults))
+	fault := linkFaults[names[s.linkRandom.IntN(len(names))]]
+	lost := [][]*fake.Engine{s.endpoints(), s.engines, s.plains, s.endpoints()[:1]}[s.linkRandom.IntN(4)]
+	var faults []links.Fault
+	for _, e := range lost {
+		fault.Address = e.Address()
+		faults = append(faults, fault)
+	}
+	for _, h := range hosts {
+		s.breakLinks(h, faults...)
+		time.AfterFunc(duration, func() { s.breakLinks(h) })
+	}
+}
+
 // nameLimit makes an endpoint name a limit for the given time, one in three times.
 func (s *soak) nameLimit(duration time.Duration) {
 	endpoints := s.endpoints()
@@ -351,6 +391,7 @@
 		e.DelayAnswers(0)
 	}
 	for _, h := range s.hosts {
+		s.breakLinks(h)
 		h.signal(syscall.SIGCONT)
 	}
 	s.background.Wait()
