fix(batch): slow but sound streams are not cut again and again

Seen by operators of similar systems: slow but sound streams were cut. It could happen here: a stream got 1.2 s from one event to the next, whatever is usual at its endpoint. Since a run brought one event only, the usual interval was never learned.

Change: an item's limits double with each of its runs that stalled, up to 5 s; a stream may take four times the usual interval of its endpoint, or of the slowest known one of its service; a caller's stream up to what callers wait for (1.9 s or four times the target latency). Callers' streams record intervals too. Endpoints of the users' sites take 40 to 200 ms, so nothing changes there.

Stalled streams that sent a byte now and then do end here, as only complete events count (TestStalledStreamsNeverEnd passes before and after: comments keep no stream alive).

--- a/batch/job.go
+++ b/batch/job.go
@@ -79,11 +79,13 @@
 
 	// itemState is the state of an item without a result.
 	itemState struct {
-		texts         []string
-		lastEvent     int
-		versions      []int
-		serverErrors  int
-		failures      int
+		texts        []string
+		lastEvent    int
+		versions     []int
+		serverErrors int
+		failures     int
+		// stalls counts the runs that were ended since no event came.
+		stalls        int
 		avoidEndpoint string
 		notBefore     time.Time
 		// software wrote the texts; only the same one may continue them.
--- a/batch/run.go
+++ b/batch/run.go
@@ -31,6 +31,9 @@
 	// firstEventTimeout is the same limit before the first event, which also waits
 	// until the engine has read other requests' prompts.
 	firstEventTimeout = 2500 * time.Millisecond
+	// maxStallTimeout limits both for items of slow endpoints. An item's own limits double
+	// with each run that stalled, since the usual interval is not known before two events.
+	maxStallTimeout = 5 * time.Second
 	// failureBackoff is how long an item waits after a failure, multiplied by its
 	// number of failures.
 	failureBackoff = 30 * time.Millisecond
@@ -42,6 +45,8 @@
 	// maxRestartDelay limits that wait: endpoints that crashed are back within a few
 	// seconds, and an item may not wait for five.
 	maxRestartDelay = 2500 * time.Millisecond
+	// maxStallShift limits how often an item's limits double.
+	maxStallShift = 2
 	// maxRestartShift limits how often that wait doubles.
 	maxRestartShift = 3
 	// statusPermanentFailure is the status of an endpoint's answer for an item that
@@ -321,11 +326,12 @@
 	state := &j.items[i]
 	last, textBytes := state.lastEvent, partial{texts: state.texts}.bytes()
 	fits := len(state.texts) == 0 || target.Software().Continues(state.software)
+	stalls := min(state.stalls, maxStallShift)
 	k.mu.Unlock()
 	if !fits {
 		return relay.NotRun{Cause: errOtherSoftware}, errOtherSoftware
 	}
-	watchdog := time.AfterFunc(firstEventTimeout, r.cancel)
+	watchdog := time.AfterFunc(min(maxStallTimeout, firstEventTimeout<<stalls), r.cancel)
 	defer watchdog.Stop()
 	reply := k.deps.Engine.Send(ctx, target, relay.Request{
 		ID: it.ID, Host: j.head.Host, Method: http.MethodPost, Target: it.Path, Header: it.Header,
@@ -342,7 +348,7 @@
 	if !answer.Signed {
 		return reply, errUnsignedStream
 	}
-	reader := &streamReader{keeper: k, job: j, item: i, run: r, version: answer.Version, textBytes: textBytes, watchdog: watchdog}
+	reader := &streamReader{keeper: k, job: j, item: i, run: r, version: answer.Version, textBytes: textBytes, watchdog: watchdog, stallTimeout: stallTimeout << stalls}
 	if err := reader.checkVersion(answer.Version); err != nil {
 		return reply, err
 	}
@@ -360,6 +366,8 @@
 	textBytes   int
 	lastEventAt time.Time
 	watchdog    *time.Timer
+	// stallTimeout is the least limit between two events.
+	stallTimeout time.Duration
 }
 
 // checkVersion checks the weight version that generates the next events. If a
@@ -386,7 +394,7 @@
 
 func (r *streamReader) recordEvent(e Event) error {
 	now := time.Now()
-	r.watchdog.Reset(stallTimeout)
+	r.watchdog.Reset(r.keeper.deps.Fleet.StallLimit(r.run.target.ID(), r.stallTimeout, maxStallTimeout))
 	if e.Version != 0 && e.Version != r.version {
 		r.version = e.Version
 		if err := r.checkVersion(e.Version); err != nil {
@@ -448,6 +456,9 @@
 		return
 	}
 	state.failures++
+	if ctx.Err() != nil {
+		state.stalls++
+	}
 	state.notBefore = time.Now().Add(min(maxFailureBackoff, failureBackoff*time.Duration(state.failures)))
 	event.ItemRunFailed.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
 		zap.String("endpoint", target.ID()), zap.String("software", string(target.Software())), zap.Int("events", len(state.texts)),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,10 @@
 	// eventIntervalMaxAge is how long the moving average is used after its last
 	// sample: slow phases of an endpoint last a few seconds.
 	eventIntervalMaxAge = 4 * time.Second
+	// stallIntervals is how many times the usual interval a stream may deliver no event.
+	stallIntervals = 4
+	// stallMemory is how long the usual interval is used for that.
+	stallMemory = 30 * time.Second
 	// RemovalGrace is how long an entry may be missing after the store was
 	// unavailable before its endpoint is removed: entries reappear within two
 	// seconds.
@@ -375,6 +379,34 @@
 	e.eventIntervalAt = now
 }
 
+// StallLimit returns how long a stream of an endpoint may deliver no event: stallIntervals
+// of the usual interval there, or of the slowest endpoint of its service if that is not
+// known, within the given limits.
+func (f *Fleet) StallLimit(id string, shortest, longest time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, now := f.endpoints[id], f.now()
+	if e == nil {
+		return shortest
+	}
+	interval := e.usualInterval(now)
+	for _, other := range f.endpoints {
+		if e.usualInterval(now) == 0 && other.entry.Service == e.entry.Service {
+			interval = max(interval, other.usualInterval(now))
+		}
+	}
+	return max(shortest, min(longest, stallIntervals*interval))
+}
+
+// usualInterval returns the mean time between two events of the endpoint's streams, 0 if
+// it has not been observed lately.
+func (e *endpoint) usualInterval(now time.Time) time.Duration {
+	if now.Sub(e.eventIntervalAt) > stallMemory {
+		return 0
+	}
+	return e.eventInterval
+}
+
 // RecordVersion records the weight version stated in an answer.
 func (f *Fleet) RecordVersion(id, model string, version int) {
 	f.mu.Lock()
--- a/integ/links_test.go
+++ b/integ/links_test.go
@@ -142,15 +142,23 @@
 // asked, and need the version that the orders bring.
 const orderBound = 7500 * time.Millisecond
 
+// dump returns a host's state, an empty one if it does not answer.
+func (s *site) dump(h *host) edge.State {
+	var state edge.State
+	status, body := s.send(http.MethodGet, h.adminAddress, "/v1/dump", "", nil)
+	if status == http.StatusOK && json.Unmarshal(body, &state) != nil {
+		s.t.Errorf("the dump of %s can't be decoded", h.name)
+	}
+	return state
+}
+
 // orderSender returns the host that sends the orders.
 func (s *site) orderSender() *host {
 	s.t.Helper()
 	var found *host
 	s.eventually("one host sends the orders", func() bool {
 		for _, h := range s.hosts {
-			status, body := s.send(http.MethodGet, h.adminAddress, "/v1/dump", "", nil)
-			var state edge.State
-			if status == http.StatusOK && json.Unmarshal(body, &state) == nil && state.Orders.Held {
+			if s.dump(h).Orders.Held {
 				found = h
 				return true
 			}
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -23,6 +23,11 @@
 	// It lies between the 0.3 s from one event of a slow endpoint to the next and
 	// the two seconds after which callers disconnect.
 	stallTimeout = 1200 * time.Millisecond
+	// maxStallTimeout and maxStallLatencies limit the same for endpoints whose events
+	// usually come more slowly: callers wait for two seconds at least, and for four times
+	// the target latency.
+	maxStallTimeout   = 1900 * time.Millisecond
+	maxStallLatencies = 4
 	// noEventID is the ID of a stream element without one, such as a comment.
 	noEventID = -1
 )
@@ -53,6 +58,10 @@
 	lastID  int
 	// started reports whether the current endpoint has sent an event.
 	started bool
+	// eventAt is when its last event came.
+	eventAt time.Time
+	// resumed reports whether the stream was resumed on another endpoint.
+	resumed bool
 	err     error
 }
 
@@ -87,6 +96,16 @@
 // Close closes the connection to the current endpoint.
 func (r *resumableStream) Close() error { return r.body.Close() }
 
+// stallLimit returns how long the next event may take. It is longer once the stream has
+// stalled: an endpoint's usual interval is not known before two of its events.
+func (r *resumableStream) stallLimit() time.Duration {
+	longest := max(maxStallTimeout, maxStallLatencies*r.active.route.TargetLatency)
+	if r.resumed {
+		return longest
+	}
+	return r.active.fleet.StallLimit(r.target.ID(), stallTimeout, longest)
+}
+
 // next reads one event. It returns io.EOF if the stream ended after a complete
 // event, and another error if the event repeats one or is too long, or if the
 // endpoint stalls or disconnects.
@@ -96,7 +115,7 @@
 	if r.started {
 		// Closing the body unblocks a waiting read.
 		body := r.body
-		watchdog := time.AfterFunc(stallTimeout, func() { _ = body.Close() })
+		watchdog := time.AfterFunc(r.stallLimit(), func() { _ = body.Close() })
 		defer watchdog.Stop()
 	}
 	for {
@@ -125,7 +144,10 @@
 			if id <= r.lastID && id != noEventID {
 				return nil, errDuplicateEvent
 			}
-			r.lastID, r.started = max(r.lastID, id), true
+			if now := time.Now(); r.started {
+				r.active.fleet.RecordEventInterval(r.target.ID(), now.Sub(r.eventAt))
+			}
+			r.lastID, r.started, r.eventAt = max(r.lastID, id), true, time.Now()
 			r.active.pinStarted(r.target)
 			return eventBytes, nil
 		}
@@ -162,7 +184,7 @@
 		result := active.awaitResult(active.attempts.Sent)
 		answer, ok := result.reply.(Answer)
 		if ok && answer.Status == 200 && answer.Streamed && answer.Signed && answer.Version == r.version {
-			r.body, r.target, r.started = answer.Body, result.target, false
+			r.body, r.target, r.started, r.resumed = answer.Body, result.target, false, true
 			r.reader.Reset(answer.Body)
 			event.StreamResumed.Log(active.logger, zap.String("request", active.request.ID), zap.String("from", lostEndpoint),
 				zap.String("endpoint", result.target.ID()), zap.String("software", string(result.target.Software())),
