fix(roster): a host that was cut off is named again by all

After the end of a cut some hosts did not name the host that was cut off for 12 to 25 s, as long as the sequences last: callers that ask them are not sent there, and messages are not passed on to it.

Cause: a dead host is brought back by its own hello, or by the list of its parent. Of two hubs only one says hello to the other, and lists come with answers only, so half of the hubs never saw the list of the host's parent. Where they did, the store's entry put the return off again and again.

Change: a host that gets a hello with another list says hello itself in its next round; a list that names a host which is dead here makes it ask that host's parent; three seconds count from the death.

Hellos cost no more while the lists agree.

--- a/roster/hello.go
+++ b/roster/hello.go
@@ -111,10 +111,11 @@
 	for offset := range hosts {
 		h := hosts[(first+offset)%len(hosts)]
 		p := r.hosts[h.Name]
-		uncertain := !p.confirmed || p.dead || p.failures > 0
+		uncertain := !p.confirmed || p.dead || p.failures > 0 || p.differs
 		if r.watchesAsHub(t, h, p) {
 			if hubs < helloFanout || uncertain {
 				targets = append(targets, h)
+				p.differs = false
 			}
 			if !p.dead {
 				hubs++
@@ -288,12 +289,16 @@
 	}
 	for name, p := range r.hosts {
 		knowsBetter := isParent || !t.isHub[name] && t.parentOf(name) == from
+		incarnation, ok := listed[name]
+		if parent := r.hosts[t.parentOf(name)]; ok && p.dead && !knowsBetter && parent != nil {
+			// The host may be back. The parent's own list says so.
+			parent.differs = true
+		}
 		if name == from || !knowsBetter && !starts {
 			continue
 		}
-		incarnation, ok := listed[name]
 		switch {
-		case ok && knowsBetter && p.dead && p.host.Incarnation == incarnation && time.Since(p.lastHeard) > settleTime:
+		case ok && knowsBetter && p.dead && p.host.Incarnation == incarnation && time.Since(p.deadAt) > settleTime:
 			// Before that, the other node may not have found the death yet.
 			p.dead, p.failures = false, 0
 			r.invalidate()
@@ -331,7 +336,7 @@
 	if r.topology().isHub[name] || p.host.Leaving {
 		r.statusChangedAt = time.Now()
 	}
-	p.dead, p.lastHeard = true, time.Now()
+	p.dead, p.lastHeard, p.deadAt = true, time.Now(), time.Now()
 	r.invalidate()
 	event.HostDead.Log(r.logger, zap.String("host", name), zap.Int("failures", p.failures), zap.Error(cause))
 }
@@ -349,6 +354,9 @@
 	}
 	reply.Settled = r.settled()
 	sameHosts := r.digest() == hello.GetDigest()
+	if p := r.hosts[hello.GetFrom().GetName()]; p != nil && !sameHosts {
+		p.differs = true
+	}
 	if r.limits != nil && (!sameHosts || !hello.GetSettled()) {
 		reply.Limits = r.limits.ListLimits()
 	}
--- a/roster/reports_test.go
+++ b/roster/reports_test.go
@@ -47,6 +47,8 @@
 		*Roster
 		up        bool
 		startedAt time.Time
+		// cut drops the host's messages in both directions.
+		cut bool
 	}
 
 	// scheduled is something that happens later.
@@ -85,6 +87,11 @@
 func (f *simulatedFleet) start(h Host) {
 	h.Incarnation = uint64(time.Now().UnixNano())
 	n := &simulatedNode{Roster: New(h, memory.New(), nil, zap.NewNop()), up: true, startedAt: time.Now()}
+	n.OnLeaving(func(leaving Host) {
+		for _, child := range n.Children() {
+			f.after(f.delay(), func() { f.nodes[child.Name].RecordLeaving(leaving.Name, leaving.Incarnation) })
+		}
+	})
 	n.discoveredAt = time.Now().Add(discoveryDelay)
 	f.nodes[h.Name], f.registered[h.Name] = n, h
 	f.list(n)
@@ -129,7 +136,7 @@
 	out, back := f.delay(), f.delay()
 	f.after(out, func() {
 		callee := f.nodes[to.Name]
-		if !callee.up {
+		if !callee.up || callee.cut || n.cut {
 			return
 		}
 		reply := callee.Serve(call)
@@ -139,6 +146,9 @@
 			}
 		}
 		f.after(back, func() {
+			if callee.cut || n.cut {
+				return
+			}
 			answered = true
 			apply()
 		})
@@ -180,7 +190,7 @@
 // does.
 func (f *simulatedFleet) learn(name string, lost Host, passOn func(*simulatedNode)) {
 	n := f.nodes[name]
-	if !n.up || name == lost.Name {
+	if !n.up || n.cut || name == lost.Name {
 		return
 	}
 	h, ok := n.Host(lost.Name)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -160,6 +160,9 @@
 		// confirmed is true once the host itself has sent or answered a hello; before,
 		// only the store or another node has reported it.
 		confirmed bool
+		// differs reports whether the host has said hello with another list of hosts. Only
+		// its answer to a hello would bring that list.
+		differs bool
 		// unreached is the number of endpoints that only others reach, and unreachedAt when
 		// the host said so.
 		unreached   uint32
@@ -167,6 +170,8 @@
 		// lastHeard is when the host itself was last heard, or when a dead one was found
 		// dead; of a host that others have reported it is when it started.
 		lastHeard time.Time
+		// deadAt is when the host was found dead.
+		deadAt time.Time
 	}
 )
 
