fix(reach): requests that no host can serve are refused at once while hosts search

Callers would have seen: with all hosts cut off from all endpoints, a request that came later than half a second after the last one waited for the search again, up to the deadline of 800 ms.

Change: a search that finds nothing keeps an endpoint down until the next one, as only the search need find out.

--- a/integ/links_test.go
+++ b/integ/links_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/currantloft/currantloft/edge"
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fakes/links"
 	"github.com/currantloft/currantloft/platform/fake"
 )
@@ -387,3 +388,38 @@
 	}
 	t.Logf("%d of %d requests served", served, len(statuses))
 }
+
+// refusalBound is how long a refusal may take that is known before the request comes: two
+// round trips between hosts and what a busy machine adds.
+const refusalBound = 100 * time.Millisecond
+
+// TestCallersWaitThoughNobodyReachesEndpoints cuts all hosts off from all endpoints. Once
+// they know, they must refuse requests at once, with a time to come back, and serve again
+// soon after the links are back.
+func TestCallersWaitThoughNobodyReachesEndpoints(t *testing.T) {
+	s := newLinkSite(t, 3, siteTimeout)
+	s.firstTries("before", s.hosts, 5)
+	for _, h := range s.hosts {
+		s.breakLinks(h, links.Fault{New: links.NewHang, Open: links.OpenHang})
+	}
+	s.firstTries("learn", s.hosts, 4)
+	late := 0
+	for n := range 60 {
+		started := time.Now()
+		status, _ := s.send(http.MethodPost, s.hosts[n%3].callerAddress, plainPath+"x", fmt.Sprint("none-", n), []byte("x"))
+		checkStatus(t, "a request that nobody can serve", status, http.StatusServiceUnavailable)
+		if time.Since(started) > refusalBound {
+			late++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if late > 0 {
+		t.Errorf("%d of 60 refusals took longer than %v", late, refusalBound)
+	}
+	for _, h := range s.hosts {
+		s.breakLinks(h)
+	}
+	time.Sleep(noticeTime)
+	after := s.firstTries("after", s.hosts, 10)
+	check.Equal(t, "served after the links are back", after.served, after.tried)
+}
--- a/reach/attempt.go
+++ b/reach/attempt.go
@@ -75,12 +75,24 @@
 		a.tried[""] = true
 		return direct, connectPatience, true
 	}
-	if len(a.tried) > 0 && !a.search {
-		b.down[a.address] = b.now().Add(downMemory)
+	if len(a.tried) > 0 {
+		b.recordDown(a.address, a.search)
 	}
 	return Path{}, 0, false
 }
 
+// recordDown records that no host was found that reaches an endpoint. While hosts search
+// for one, requests need not. The caller holds the lock.
+func (b *Book) recordDown(address string, searched bool) {
+	memory := downMemory
+	if searched {
+		memory = searchInterval + downMemory
+	}
+	if until := b.now().Add(memory); until.After(b.down[address]) && b.failing[Direct(address)] != nil {
+		b.down[address] = until
+	}
+}
+
 // Failed records that a connection could not be opened over a path that Next returned.
 func (a *Attempt) Failed(p Path, f Failure) {
 	a.book.Failed(p, f)
