feat(fleet): an endpoint that says in its answers that it leaves gets no new requests

An endpoint was known to leave only from its entry in the store, so a host that the store or its peers don't reach went on sending work to an engine that was about to exit.

Server-Leaving: 1 is read on every answer of the endpoint, whatever its status: requests, streams, items, reward calls, reports and orders. Other values say nothing; of several, 1 counts. 421, or an answer that names another instance, is another endpoint's. The fact belongs to the endpoint's start: it outlives a lost and regained entry and an entry that says ready, and ends with the entry of a later start (born). An endpoint gets no request if its entry drains or its answers have said so; Fleet.Serving, Begin and TakesRequests are the one rule that everything asks, also right before a request is sent and for requests of other hosts. What runs there goes on. Hosts tell each other: a request through another host reaches the endpoint from that host, which can't read the answers it carries.

Event 513, once an endpoint and start; counter endpoints_leaving by origin; dump shows leaving endpoints.

Measured: TestLeavingEndpointGetsRequests (random entries, answers and starts), TestLeavingHeader (12 kinds of answers), TestLeavingEndpointGetsRequestsOfHostsWithoutStore, which fails when the header is not read.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -125,6 +125,7 @@
 	e.store.SetPeerFallback(e.peers.peerFallback)
 	e.roster.OnDead(e.peers.notifyLost)
 	e.roster.OnLeaving(e.peers.notifyLeaving)
+	e.fleet.OnLeaving(e.endpointLeaves)
 	e.connect(options.DialEndpoint)
 	e.limits = newLimits(e.fleet.Limits(), e.peers, logger)
 	e.origins = newOrigins(e.peers, logger)
@@ -162,7 +163,7 @@
 		OnUnreached: e.roster.SetUnreached, Scope: e.meter.Scope(), Logger: e.logger,
 	})
 	e.detours = detour.NewServer(detour.ServerDeps{
-		Book: e.book, Dialer: dialer, Known: e.fleet.HasAddress, OnFailed: e.detour.Suspect, Leaving: e.leaving.Load, Clock: waits.Boottime,
+		Book: e.book, Dialer: dialer, Known: e.fleet.TakesRequests, OnFailed: e.detour.Suspect, Leaving: e.leaving.Load, Clock: waits.Boottime,
 		Scope: e.meter.Scope(), Logger: e.logger,
 	})
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -16,6 +16,7 @@
 
 	"github.com/currantloft/currantloft/batch"
 	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/mirror"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/rendez"
@@ -287,6 +288,11 @@
 		if isReport(body.LimitCall) {
 			e.peers.passOn(call)
 		}
+	case *wirepb.Frame_EndpointLeaving:
+		leaving := body.EndpointLeaving
+		e.fleet.RecordLeaving(fleet.NewTarget(leaving.GetEndpoint(), "", "").WithStart(leaving.GetStartedMs()), originPeer)
+		e.peers.passOn(call)
+		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
 	case *wirepb.Frame_OriginCall:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_OriginReply{OriginReply: e.origins.serve(body.OriginCall)}}
 	case *wirepb.Frame_BatchNotice:
--- a/event/event.go
+++ b/event/event.go
@@ -70,6 +70,7 @@
 	EndpointPathBroken   = define(510, "endpoint_path_broken", zapcore.WarnLevel)
 	EndpointPathRestored = define(511, "endpoint_path_restored", zapcore.InfoLevel)
 	DetourDataTooOld     = define(512, "detour_data_too_old", zapcore.InfoLevel)
+	EndpointSaysLeaving  = define(513, "endpoint_says_leaving", zapcore.InfoLevel)
 
 	StepOpened       = define(600, "step_opened", zapcore.InfoLevel)
 	StepSealed       = define(601, "step_sealed", zapcore.InfoLevel)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,6 +98,7 @@
 	Target struct {
 		id, address, domain string
 		software            Software
+		startedMs           int64
 	}
 
 	// State is a snapshot of one endpoint, the input for selecting an endpoint.
@@ -114,6 +115,8 @@
 		Paused bool
 		// Full endpoints recently refused a request because they had no free slot.
 		Full bool
+		// Leaving endpoints have said so in their answers, or drain, and get no requests.
+		Leaving bool
 		// Limited endpoints take only as many requests as this node has permits for.
 		Limited bool
 		Permits int
@@ -129,6 +132,9 @@
 		now       func() time.Time
 		changed   chan struct{}
 		limits    *quota.Book
+		// leaving holds what endpoints' answers have said, by ID.
+		leaving   map[string]leavingFact
+		onLeaving func(target Target, origin string)
 	}
 
 	endpoint struct {
@@ -152,7 +158,10 @@
 
 // New returns an empty fleet with the given clock.
 func New(now func() time.Time) *Fleet {
-	return &Fleet{endpoints: make(map[string]*endpoint), now: now, changed: make(chan struct{}), limits: quota.NewBook(now, nil)}
+	return &Fleet{
+		endpoints: make(map[string]*endpoint), now: now, changed: make(chan struct{}), limits: quota.NewBook(now, nil),
+		leaving: make(map[string]leavingFact),
+	}
 }
 
 // Limits returns the request rates that endpoints allow. They outlive the endpoints'
@@ -171,11 +180,20 @@
 // Software returns the endpoint's software.
 func (t Target) Software() Software { return t.software }
 
+// StartedMs returns when the endpoint started, in Unix milliseconds, 0 if not stated.
+func (t Target) StartedMs() int64 { return t.startedMs }
+
 // NewTarget returns a target.
 func NewTarget(id, address, domain string) Target {
 	return Target{id: id, address: address, domain: domain}
 }
 
+// WithStart returns the target with its start.
+func (t Target) WithStart(startedMs int64) Target {
+	t.startedMs = startedMs
+	return t
+}
+
 // Software returns the endpoint's software: its service with the version. An endpoint
 // that states no version has the same software as itself only.
 func (e Entry) Software() Software {
@@ -261,7 +279,7 @@
 			}
 			continue
 		}
-		if e.entry.Service != service || e.entry.Draining {
+		if e.entry.Service != service || f.leaves(e.entry) {
 			continue
 		}
 		states = append(states, f.state(e, now))
@@ -295,15 +313,16 @@
 }
 
 // Begin records a request that is about to be sent to an endpoint. It returns false if
-// the endpoint limits requests and this node has no permit for another one; the request
-// must not be sent then.
+// the endpoint leaves, or limits requests and this node has no permit for another one; the
+// request must not be sent then.
 func (f *Fleet) Begin(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.limits.Take(id) {
+	e := f.endpoints[id]
+	if e != nil && f.leaves(e.entry) || !f.limits.Take(id) {
 		return false
 	}
-	if e := f.endpoints[id]; e != nil {
+	if e != nil {
 		e.inFlight++
 	}
 	return true
@@ -435,7 +454,7 @@
 func (f *Fleet) state(e *endpoint, now time.Time) State {
 	s := State{
 		Entry: e.entry, OwnInFlight: e.inFlight,
-		Paused: now.Before(e.pausedUntil), Full: now.Before(e.fullUntil),
+		Paused: now.Before(e.pausedUntil), Full: now.Before(e.fullUntil), Leaving: f.leaves(e.entry),
 	}
 	if permits := f.limits.Permits(e.entry.ID); permits != quota.Unlimited {
 		s.Limited, s.Permits = true, permits
@@ -454,7 +473,9 @@
 
 // Target returns the endpoint's target.
 func (s State) Target() Target {
-	return Target{id: s.Entry.ID, address: s.Entry.Address, domain: s.Entry.Domain, software: s.Entry.Software()}
+	return Target{
+		id: s.Entry.ID, address: s.Entry.Address, domain: s.Entry.Domain, software: s.Entry.Software(), startedMs: s.Entry.StartedMs,
+	}
 }
 
 // Exhausted reports whether the endpoint limits requests and this node has no permit.
