--- a/edge/admin.go
+++ b/edge/admin.go
@@ -42,6 +42,12 @@
 		Store StoreState `json:"store"`
 		// Quarantined counts the requests in quarantine for crashing endpoints.
 		Quarantined int `json:"refused"`
+		// BrokenPaths holds the addresses of endpoints that this node can't connect to, each
+		// with a host that can. Isolated is true if it reaches hardly any endpoint.
+		BrokenPaths map[string]string `json:"broken_paths"`
+		Isolated    bool              `json:"isolated"`
+		// Detours counts the connections to endpoints that are open for other hosts.
+		Detours int64 `json:"detours"`
 		// Dials counts connections that were opened to endpoints.
 		Dials int64 `json:"dials"`
 		// Goroutines counts goroutines, HeapBytes is the memory of heap objects, those
@@ -113,7 +119,12 @@
 	for _, h := range e.roster.Children() {
 		children = append(children, h.Name)
 	}
+	brokenPaths := make(map[string]string)
+	for path, host := range e.book.BrokenPaths() {
+		brokenPaths[path.Address] = host
+	}
 	return State{
+		BrokenPaths: brokenPaths, Isolated: e.book.Isolated(), Detours: e.detours.Open(),
 		Hub: e.roster.IsHub(), Children: children,
 		Status: e.status(), Leaving: e.leaving.Load(), LeaderRank: rank, Endpoints: e.fleet.All(),
 		Limits:  e.fleet.Limits().Dump(),
