fix(detour): an answer that nobody reads leaves its path, and what may have run is not refused

Found by reading the diff. The body of a hedge's late answer is never closed; its path counted as in use for ever and was checked once a second, and the records grew. A request whose first path broke and whose deadline passed while the next one was tried could be reported as not run, though it may have.

A request's path is left when its context ends, at the latest; a reply after a lost try is settled also when the context has ended.

--- a/detour/sender.go
+++ b/detour/sender.go
@@ -100,7 +100,7 @@
 		lost, isLost := reply.(relay.Lost)
 		switch {
 		case ctx.Err() != nil:
-			return reply
+			return s.settle(last, reply)
 		case !f.connected.Load():
 			attempt.Failed(path, f.failure(reply))
 			if _, mayHaveRun := last.(relay.Lost); !mayHaveRun {
@@ -218,6 +218,8 @@
 	s.mu.Lock()
 	s.flights[f] = struct{}{}
 	s.mu.Unlock()
+	// The body of an answer that nobody wants any more may never be closed.
+	context.AfterFunc(ctx, f.end)
 	select {
 	case s.wake <- struct{}{}:
 	default:
