fix(detour): a stalled link between hosts is left, and a check does not blame hosts that had no time

Found by reading the diff. The connection with a host that answers no call for a detour was kept for the next one, until a heartbeat failed on it; it is left after 0.3 s. A check through another host ended 2 ms before that host could answer that it fails too, so the host counted as silent for a second. A probe after a reset request went on when its time was up, and counted each further host as silent. A release of the lease had less time the longer it waited for an order in flight.

No test shows these by themselves; the tests of the packages pass.

--- a/detour/detour.go
+++ b/detour/detour.go
@@ -40,6 +40,9 @@
 	// dialTimeout limits opening a connection, also beyond the patience of the request
 	// that asked for it: a later request may use it.
 	dialTimeout = 400 * time.Millisecond
+	// stalledTime is the silence of a host after which the connection with it may be
+	// stalled. It answers within serveDialTimeout and a round trip.
+	stalledTime = 300 * time.Millisecond
 	// endpointKeepAlive is the interval of TCP keep-alive probes, and keepAliveProbes how
 	// many may go unanswered: an unresponsive connection is detected after four seconds.
 	// That is longer than an item or a request waits in silence, since an attempt that
@@ -152,11 +155,15 @@
 		cancel()
 		return nil, &notOpenError{host: path.Host, failure: reach.Failure{Silent: true}}
 	}
+	askedAt := d.deps.Clock()
 	frame, err := stream.Recv()
 	receivedAt := d.deps.Clock()
 	if !stopWaiting() && err == nil {
 		err = ctx.Err()
 	}
+	if err != nil && receivedAt-askedAt > stalledTime {
+		d.deps.Peers.Forget(path.Host)
+	}
 	reply := frame.GetDetourReply()
 	if err != nil || !reply.GetOpen() {
 		_ = stream.Close()
--- a/detour/watch.go
+++ b/detour/watch.go
@@ -16,8 +16,10 @@
 const (
 	// watchInterval is how often paths are looked at while some are in use or broken.
 	watchInterval = 50 * time.Millisecond
-	// checkTimeout limits a check, which opens a connection.
-	checkTimeout = 100 * time.Millisecond
+	// checkTimeout limits a check, which opens a connection, and hostCheckTimeout one
+	// through another host, which may answer only after serveDialTimeout.
+	checkTimeout     = 100 * time.Millisecond
+	hostCheckTimeout = serveDialTimeout + 80*time.Millisecond
 	// minSilence and minStreamSilence are how long nothing may have come for a request,
 	// or within its answer, before it is given up on a broken path.
 	minSilence       = 150 * time.Millisecond
@@ -69,7 +71,11 @@
 // check opens a connection over a path. If that fails, it looks for a path that works,
 // since the endpoint itself may be down.
 func (s *Sender) check(ctx context.Context, path reach.Path) {
-	err := s.tryPath(ctx, path, checkTimeout)
+	limit := checkTimeout
+	if !path.IsDirect() {
+		limit = hostCheckTimeout
+	}
+	err := s.tryPath(ctx, path, limit)
 	if err == nil || ctx.Err() != nil {
 		return
 	}
@@ -131,8 +137,8 @@
 	attempt := s.deps.Book.BeginSearch(reach.Direct(address), s.deps.Hosts)
 	for path, patience, ok := attempt.Next(); ok; path, patience, ok = attempt.Next() {
 		err := s.tryPath(ctx, path, patience)
-		if err == nil {
-			return true
+		if err == nil || ctx.Err() != nil {
+			return err == nil
 		}
 		attempt.Failed(path, failureOf(path, err))
 	}
--- a/orders/sender.go
+++ b/orders/sender.go
@@ -123,10 +123,10 @@
 
 // release gives up the lease once no order can be sent any more.
 func (s *Sender) release(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer cancel()
 	s.sending.Lock()
 	defer s.sending.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
 	if err := s.deps.Lease.Release(ctx, s.deps.Lease.Now()-time.Duration(s.sentAt.Load())); err != nil {
 		event.LeaseFailed.Log(s.deps.Logger, zap.Error(err))
 	}
