test(integ): the soak heals its links before it ends

The test's own fault: healing is now waited for, and comes at once when faults end. Nothing of the product was involved.

--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -56,8 +56,10 @@
 	limitRandom *rand.Rand
 	// linkRandom draws the links that hosts lose, for the same reason.
 	linkRandom *rand.Rand
-	// background counts restarts and crashing requests that are not finished.
-	background         sync.WaitGroup
+	// background counts restarts, crashing requests and lost links that are not finished.
+	background sync.WaitGroup
+	// faultsEnded is closed when no more faults are injected.
+	faultsEnded        chan struct{}
 	mu                 sync.Mutex
 	restarting         map[*host]bool
 	batches            []*soakBatch
@@ -122,7 +124,7 @@
 		random: rand.New(rand.NewPCG(seed, 0)), extraRandom: rand.New(rand.NewPCG(seed, 1)),
 		rewardRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)),
 		linkRandom: rand.New(rand.NewPCG(seed, 4)),
-		restarting: make(map[*host]bool),
+		restarting: make(map[*host]bool), faultsEnded: make(chan struct{}),
 	}
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
@@ -227,7 +229,13 @@
 	}
 	for _, h := range hosts {
 		s.breakLinks(h, faults...)
-		time.AfterFunc(duration, func() { s.breakLinks(h) })
+		s.background.Go(func() {
+			select {
+			case <-time.After(duration):
+			case <-s.faultsEnded:
+			}
+			s.breakLinks(h)
+		})
 	}
 }
 
@@ -378,6 +386,7 @@
 
 // endFaults clears all faults and waits until all hosts are ready.
 func (s *soak) endFaults() {
+	close(s.faultsEnded)
 	s.store.Reject(0)
 	s.store.Memory.SetFaults(memory.Faults{})
 	for _, e := range s.engines {
@@ -391,7 +400,6 @@
 		e.DelayAnswers(0)
 	}
 	for _, h := range s.hosts {
-		s.breakLinks(h)
 		h.signal(syscall.SIGCONT)
 	}
 	s.background.Wait()
