--- a/integ/links_test.go
+++ b/integ/links_test.go
@@ -214,6 +214,7 @@
 		"one link hangs":    {Address: "first engine", New: links.NewHang, Open: links.OpenHang},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newLinkSite(t, linkSiteHosts, siteTimeout)
 			s.nameVersion(2)
 			leader := s.orderSender()
@@ -261,6 +262,7 @@
 		"from engines, refusing": func(s *site) []*fake.Engine { return s.engines },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newLinkSite(t, linkSiteHosts, siteTimeout)
 			cut := s.hosts[:4]
 			fault := links.Fault{New: links.NewHang, Open: links.OpenHang}
@@ -311,6 +313,7 @@
 func TestStreamsEndWithLinksOfTheirHost(t *testing.T) {
 	for name, fault := range linkFaults {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			slow := fake.EngineOptions{Software: "v1", Mark: true}
 			s := newLinkSiteWith(t, 3, siteTimeout, slow, slow, slow)
 			h := s.hosts[0]
--- a/integ/stall_test.go
+++ b/integ/stall_test.go
@@ -63,6 +63,7 @@
 // must not be cut again and again: after a first one the engines are known to be slow.
 func TestSlowStreamsAreCut(t *testing.T) {
 	t.Run("items", func(t *testing.T) {
+		t.Parallel()
 		s := newSlowSite(t)
 		checkStatus(t, "the batch", s.submit(s.hosts[0], "slow", newBatchBody("slow", 2, 1)), http.StatusAccepted)
 		s.readComplete("slow", newResultHistory(), 6, 1)
@@ -76,6 +77,7 @@
 		}
 	})
 	t.Run("a stream", func(t *testing.T) {
+		t.Parallel()
 		s := newSlowSite(t)
 		// The host that runs a batch's items learns from them how slow the engines are.
 		checkStatus(t, "the batch", s.submit(s.hosts[0], "slow", newBatchBody("slow", 2, 1)), http.StatusAccepted)
