feat(routes): teams, their keys and the settings of the platform's duties are decoded

Two deployments declare teams with keys, and an API for usage reports and for ordering endpoints; the product decoded neither. Nothing uses them yet, so no deployment is served differently.

Weighed: a team in the offer of a batch as well. Left out, since the head that accepts the batch has it, also when an older node sent the offer.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -56,7 +56,9 @@
 		ID   string
 		Host string
 		// Path is the URL path of the submission; it selects the route.
-		Path  string
+		Path string
+		// Team is the team that submitted the batch, empty without teams.
+		Team  string
 		Step  int
 		Model string
 		// MinVersion is the oldest weight version that may generate output.
@@ -113,6 +115,8 @@
 		AcceptedMs int64 `json:"accepted_ms"`
 		// BodyParts is the number of objects that hold the body.
 		BodyParts int `json:"parts"`
+		// Team is the team that submitted the batch, empty without teams.
+		Team string `json:"team,omitempty"`
 	}
 
 	// chunk is a stored sequence of results.
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -73,6 +73,7 @@
 	head := Head{
 		ID: s.ID, Host: s.Host, Path: s.Path, Model: s.Model, Step: s.Step, Items: len(s.Items),
 		Keeper: keeper, Incarnation: incarnation, Tokens: totalTokens(s.Items), AcceptedMs: submittedAt.UnixMilli(), BodyParts: parts,
+		Team: s.Team,
 	}
 	head, outcome := k.storeHead(ctx, head)
 	stored, ok := outcome.(Stored)
--- a/batch/crash_test.go
+++ b/batch/crash_test.go
@@ -169,7 +169,7 @@
 	table := routes.NewTable(1, []routes.Route{{
 		Host: "h", Prefix: "/b/", Kind: routes.Rollout, Shares: []routes.Share{{Service: "pool", Weight: 1}},
 		MaxAttempts: 3, MaxQueue: time.Minute, ResultDeadline: testLimit, SingleVersion: true,
-	}}, nil, routes.Limits{})
+	}}, nil, nil, routes.Limits{})
 	k.deps.Routes = func() *routes.Table { return table }
 	acceptAt(t, k, "s", "i0")
 	select {
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -200,7 +200,7 @@
 	}, {
 		Host: "h", Prefix: rewardPath, Kind: routes.Idempotent, Shares: []routes.Share{{Service: "judge", Weight: 1}},
 		MaxAttempts: 2, TargetLatency: 200 * time.Millisecond, Timeout: testLimit,
-	}}, nil, routes.Limits{})
+	}}, nil, nil, routes.Limits{})
 	k := New(Deps{
 		Name: p.name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
 		Policy: LongestFirst{},
--- a/edge/encode.go
+++ b/edge/encode.go
@@ -108,6 +108,7 @@
 		Id: n.Head.ID, Host: n.Head.Host, Path: n.Head.Path, Model: n.Head.Model, Step: int64(n.Head.Step),
 		Items: int64(n.Head.Items), Keeper: n.Head.Keeper, Incarnation: n.Head.Incarnation,
 		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.BodyParts), Tokens: int64(n.Head.Tokens), Ended: n.Ended, Handed: n.HandedOver, Taken: n.TakenOver,
+		Team: n.Head.Team,
 	}
 }
 
@@ -116,7 +117,7 @@
 		Head: batch.Head{
 			ID: n.GetId(), Host: n.GetHost(), Path: n.GetPath(), Model: n.GetModel(), Step: int(n.GetStep()),
 			Items: int(n.GetItems()), Keeper: n.GetKeeper(), Incarnation: n.GetIncarnation(),
-			AcceptedMs: n.GetAcceptedMs(), BodyParts: int(n.GetParts()), Tokens: int(n.GetTokens()),
+			AcceptedMs: n.GetAcceptedMs(), BodyParts: int(n.GetParts()), Tokens: int(n.GetTokens()), Team: n.GetTeam(),
 		},
 		Ended: n.GetEnded(), HandedOver: n.GetHanded(), TakenOver: n.GetTaken(),
 	}
--- a/edge/encode_test.go
+++ b/edge/encode_test.go
@@ -33,7 +33,7 @@
 	t.Run("a batch notification", func(t *testing.T) {
 		want := batch.Notification{Head: batch.Head{
 			ID: "i", Host: "h", Path: "p", Model: "m", Step: 1, Items: 2, Keeper: "k", Incarnation: 3,
-			AcceptedMs: 4, BodyParts: 5, Tokens: 6,
+			AcceptedMs: 4, BodyParts: 5, Tokens: 6, Team: "t",
 		}, Ended: true, HandedOver: true, TakenOver: true}
 		check.Equal(t, "notification", decodeNotification(roundTrip(t, encodeNotification(want), &wirepb.BatchNotice{})), want)
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,6 +42,8 @@
 		// Repeatable reports whether the request may be sent again after an attempt that may
 		// have run.
 		Repeatable bool
+		// Team is the team whose key the request bears, empty without teams.
+		Team string
 		// Caller is a hash of the request's headers that identifies the caller. It is
 		// the same for all attempts of one caller.
 		Caller uint64
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -3,12 +3,13 @@
 //
 // # Usage
 //
-//	table := routes.NewTable(version, list, services, limits)
+//	table := routes.NewTable(version, list, services, teams, limits)
 //	route, ok := table.Match(host, path)
 //	service := route.Service(requestID)
 package routes
 
 import (
+	"crypto/sha256"
 	"sort"
 	"strings"
 	"time"
@@ -55,6 +56,19 @@
 		MaxAttempts   int
 		SingleVersion bool
 		Resumable     bool
+		// Public reports whether requests need no key of a team.
+		Public bool
+	}
+
+	// KeyDigest is the SHA-256 digest of a key.
+	KeyDigest [sha256.Size]byte
+
+	// Team is a group of callers that share keys.
+	Team struct {
+		Name string
+		// Priority goes before that of the route; 0 is the highest.
+		Priority int
+		Keys     []KeyDigest
 	}
 
 	// Service is a set of endpoints.
@@ -85,11 +99,13 @@
 		routesByHost map[string][]Route
 		services     map[string]Service
 		limits       Limits
+		// teams holds the teams by key.
+		teams map[KeyDigest]Team
 	}
 )
 
 // NewTable returns a table of the routes and services.
-func NewTable(version uint64, list []Route, services []Service, limits Limits) *Table {
+func NewTable(version uint64, list []Route, services []Service, teams []Team, limits Limits) *Table {
 	t := &Table{
 		version:      version,
 		routesByHost: make(map[string][]Route),
@@ -106,9 +122,29 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	if len(teams) > 0 {
+		t.teams = make(map[KeyDigest]Team)
+	}
+	for _, team := range teams {
+		for _, key := range team.Keys {
+			t.teams[key] = team
+		}
+	}
 	return t
 }
 
+// DigestKey returns the digest by which a key is looked up.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// HasTeams reports whether requests need the key of a team, except on public routes.
+func (t *Table) HasTeams() bool { return t.teams != nil }
+
+// TeamByKey returns the team that holds a key.
+func (t *Table) TeamByKey(key KeyDigest) (Team, bool) {
+	team, ok := t.teams[key]
+	return team, ok
+}
+
 // Version returns the configuration's version.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/setup/host.go
+++ b/setup/host.go
@@ -32,6 +32,19 @@
 		ConfigApplyLimit time.Duration
 		// Retention is how long the results of a batch can be read.
 		Retention time.Duration
+		// DutyAddress is the address of the platform's API for duties, empty if there is
+		// none. ReportsUsage and OrdersEndpoints are the duties that it accepts, and
+		// DutyCallsPerSecond is how many calls it accepts from all hosts together.
+		DutyAddress                   string
+		ReportsUsage, OrdersEndpoints bool
+		DutyCallsPerSecond            float64
+		// UsageWindow is the length of the windows of usage reports, and
+		// UsageReportLimit the time after a window's end in which its report is due.
+		UsageWindow, UsageReportLimit time.Duration
+		// RevokeFailClosed makes a host refuse requests that need a key once its
+		// configuration has not been confirmed for RevokeLimit.
+		RevokeFailClosed bool
+		RevokeLimit      time.Duration
 	}
 
 	// Host holds the checked settings of a host on the prepared platform.
@@ -91,3 +104,30 @@
 
 // Retention returns how long the results of a batch can be read.
 func (h *Host) Retention() time.Duration { return h.config.Retention }
+
+// DutyAddress returns the address of the platform's API for duties, empty if there is
+// none.
+func (h *Host) DutyAddress() string { return h.config.DutyAddress }
+
+// ReportsUsage reports whether usage of teams is to be reported to that API.
+func (h *Host) ReportsUsage() bool { return h.config.DutyAddress != "" && h.config.ReportsUsage }
+
+// OrdersEndpoints reports whether endpoints are to be ordered from that API.
+func (h *Host) OrdersEndpoints() bool { return h.config.DutyAddress != "" && h.config.OrdersEndpoints }
+
+// DutyCallsPerSecond returns how many calls that API accepts from all hosts together.
+func (h *Host) DutyCallsPerSecond() float64 { return h.config.DutyCallsPerSecond }
+
+// UsageWindow returns the length of the windows of usage reports.
+func (h *Host) UsageWindow() time.Duration { return h.config.UsageWindow }
+
+// UsageReportLimit returns the time after a window's end in which its report is due.
+func (h *Host) UsageReportLimit() time.Duration { return h.config.UsageReportLimit }
+
+// RevokeFailClosed reports whether requests that need a key are refused once the
+// configuration has not been confirmed for RevokeLimit.
+func (h *Host) RevokeFailClosed() bool { return h.config.RevokeFailClosed }
+
+// RevokeLimit returns how long a configuration that has not been confirmed decides on keys
+// if RevokeFailClosed is set.
+func (h *Host) RevokeLimit() time.Duration { return h.config.RevokeLimit }
