feat(batch): items start only while their batch is confirmed to be open

Items reached an endpoint up to 5.8 s after the end of their batch was acknowledged; the bound is 3 s. Their keeper had missed the message of the end, and the periodic list of ends comes late in a large fleet.

Each job now has a start permission, valid for 1.8 s after the batch was confirmed to be open: by the creation of its head here, by a fresh read of the end object, or by a hub if that read fails. It is judged on the clock that includes suspension, when an item or a reward call is scheduled and each time that net/http reads from the request's body. A request that it stops has not run, says nothing of the endpoint and waits again. A read that finds the end ends the batch here. Reads happen only while items wait, one at a time for each batch. An item is moved only while its batch is confirmed.

A second cause is mended with it: a node that learned of the end before it finished accepting the batch, or before the message of an offered head, started the job all the same, and a later message of the end no longer ended it.

Ruled out: a confirmation by the message of the head, which may be late; permission from the time of an answer, since the batch may end between the read and its answer.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -75,6 +75,8 @@
 		Keeper: keeper, Incarnation: incarnation, Tokens: totalTokens(s.Items), AcceptedMs: submittedAt.UnixMilli(), BodyParts: parts,
 		Team: s.Team,
 	}
+	// The batch can end as soon as its head exists, before this node learns of that.
+	createdAt := k.deps.Clock()
 	head, outcome := k.storeHead(ctx, head)
 	stored, ok := outcome.(Stored)
 	if !ok {
@@ -90,8 +92,12 @@
 	}
 	k.mu.Lock()
 	k.applyLocked(Notification{Head: head})
-	if k.owns(head) {
-		k.startJob(k.newJob(head, s))
+	if k.owns(head) && !k.batches[s.ID].ended {
+		j := k.newJob(head, s)
+		if !stored.Before {
+			j.permission.confirm(createdAt)
+		}
+		k.startJob(j)
 	}
 	k.mu.Unlock()
 	k.deps.Peers.Notify(Notification{Head: head})
--- a/batch/job.go
+++ b/batch/job.go
@@ -57,6 +57,10 @@
 		// one was committed.
 		uncertainUntil time.Time
 		confirmedAt    time.Time
+		// permission decides whether items may start. startsHeld reports that the last check
+		// left it invalid.
+		permission startPermission
+		startsHeld bool
 	}
 
 	// lastItem describes the item that ended last, for logs: the longest items
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -106,6 +106,9 @@
 		// Find asks another node for a batch that this one does not know. It returns
 		// false if that node does not know it either, or if none is to be asked.
 		Find(ctx context.Context, id string) (Notification, bool)
+		// FindAt asks a named node for a batch. The notification of a batch that it does
+		// not know names none.
+		FindAt(ctx context.Context, name, id string) (Notification, error)
 		// Offer sends a batch to the node that is to own it.
 		Offer(ctx context.Context, name string, s Submission) error
 		// ReadAt reads results at the node that owns the batch, or returns ErrNotOwner.
@@ -140,6 +143,8 @@
 		Routes func() *routes.Table
 		// Decode parses the raw body of a submission.
 		Decode func(id, host, path string, raw []byte) (Submission, error)
+		// Clock is the time since boot, including time suspended; nil means waits.Boottime.
+		Clock  func() time.Duration
 		Scope  tally.Scope
 		Logger *zap.Logger
 	}
@@ -180,6 +185,9 @@
 // New returns a keeper that runs until Close.
 func New(deps Deps) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
+	if deps.Clock == nil {
+		deps.Clock = waits.Boottime
+	}
 	k := &Keeper{
 		deps: deps, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), handover: make(chan struct{}, 1),
 		jobs: make(map[string]*job), batches: make(map[string]*knownBatch), groupEndpoints: make(GroupEndpoints),
@@ -230,13 +238,13 @@
 	if s, offered := k.offers[id]; offered {
 		delete(k.offers, id)
 		h.head = notification.Head
-		if !notification.Ended && k.owns(h.head) {
+		if !notification.Ended && !h.ended && k.owns(h.head) {
 			k.startJob(k.newJob(h.head, s))
 		}
 	}
-	if notification.Ended && !h.ended {
+	if notification.Ended {
 		h.ended = true
-		if j := k.jobs[id]; j != nil {
+		if j := k.jobs[id]; j != nil && !j.results.Ended() {
 			k.endJob(j)
 		}
 	}
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -113,6 +113,11 @@
 	return p.cluster.at(p.Keepers()[0]).Find(id)
 }
 
+func (p clusterPeers) FindAt(_ context.Context, name, id string) (Notification, error) {
+	found, _ := p.cluster.at(name).Find(id)
+	return found, nil
+}
+
 func (p clusterPeers) Offer(_ context.Context, name string, s Submission) error {
 	if !p.cluster.at(name).HoldOffer(s.ID, s.Host, s.Path, s.Raw) {
 		return ErrNotOwner
--- a/batch/reward.go
+++ b/batch/reward.go
@@ -166,6 +166,13 @@
 	return call
 }
 
+// rewardWaits reports whether an item's reward call waits for an attempt to start. The
+// caller holds the lock.
+func (k *Keeper) rewardWaits(j *job, i int, now time.Time) bool {
+	call := k.rewardCall(itemRef{job: j, item: i}, nil)
+	return call.WantsAttempt(now)
+}
+
 // missingTexts returns how many items of each group have no complete text.
 func (j *job) missingTexts() map[string]int {
 	missing := make(map[string]int)
@@ -182,6 +189,9 @@
 func (k *Keeper) startReward(ref itemRef, target fleet.Target, now time.Time) {
 	j, i := ref.job, ref.item
 	it, state := &j.submission.Items[i], j.items[i].reward
+	if !j.permission.valid(k.deps.Clock()) {
+		return
+	}
 	if !k.deps.Fleet.Begin(target.ID()) {
 		// The last permit was used meanwhile; the next pass asks for another.
 		return
@@ -197,18 +207,20 @@
 	deadline := time.UnixMilli(j.head.AcceptedMs).Add(k.lifetime(j.head))
 	k.tasks.Go(func() {
 		defer cancel()
-		reply, signature, err := k.sendReward(ctx, it.Reward, target, deadline)
-		k.deps.Fleet.End(target.ID(), rewardFleetResult(ctx, reply))
+		reply, signature, err := k.sendReward(ctx, j, it.Reward, target, deadline)
+		k.deps.Fleet.End(target.ID(), rewardFleetResult(ctx, reply, err))
 		k.endReward(ctx, ref, state, attempt, rewardOutcome{reply: reply, signature: signature, err: err})
 	})
 }
 
 // sendReward makes one attempt and reads the answer to its end. A successful answer
 // that is incomplete counts as lost.
-func (k *Keeper) sendReward(ctx context.Context, call RewardCall, target fleet.Target, deadline time.Time) (reply relay.Reply, signature string, err error) {
+func (k *Keeper) sendReward(
+	ctx context.Context, j *job, call RewardCall, target fleet.Target, deadline time.Time,
+) (reply relay.Reply, signature string, err error) {
 	reply = k.deps.Engine.Send(ctx, target, relay.Request{
 		ID: call.ID, Host: call.Host, Method: http.MethodPost, Target: call.Path, Body: call.Body, Deadline: deadline, LastEventID: -1,
-		Repeatable: true,
+		Repeatable: true, Permitted: func() bool { return k.mayStart(j) },
 	})
 	answer, ok := reply.(relay.Answer)
 	if !ok {
@@ -257,6 +269,11 @@
 		k.recordScored(j, i, outcome.signature)
 		return
 	}
+	if errors.Is(outcome.err, relay.ErrNotPermitted) {
+		event.ItemNotPermitted.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID),
+			zap.String("call", it.Reward.ID), zap.String("endpoint", attempt.target.ID()))
+		return
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
@@ -277,7 +294,10 @@
 }
 
 // rewardFleetResult returns what an attempt says about its endpoint.
-func rewardFleetResult(ctx context.Context, reply relay.Reply) fleet.Result {
+func rewardFleetResult(ctx context.Context, reply relay.Reply, err error) fleet.Result {
+	if errors.Is(err, relay.ErrNotPermitted) {
+		return fleet.Cancelled
+	}
 	switch r := reply.(type) {
 	case relay.Answer:
 		return fleet.Answered
--- a/batch/run.go
+++ b/batch/run.go
@@ -105,8 +105,9 @@
 	if k.leaving {
 		return false
 	}
-	now := time.Now()
+	now, clock := time.Now(), k.deps.Clock()
 	waiting := make(map[string][]WaitingItem)
+	unconfirmed := make(map[*job]bool)
 	var refs []itemRef
 	rewards := make(map[string][]itemRef)
 	unplaced := 0
@@ -116,6 +117,7 @@
 		}
 		j.route = k.routeOf(j.head)
 		service := j.route.Service(j.head.ID)
+		permitted := j.permission.valid(clock)
 		for i := range j.submission.Items {
 			it := &j.submission.Items[i]
 			if _, running := j.running[i]; running || j.results.HasResult(it.ID) {
@@ -127,15 +129,23 @@
 			}
 			if j.items[i].reward != nil {
 				if service, ok := k.rewardService(j, i, now); ok {
-					rewards[service] = append(rewards[service], itemRef{job: j, item: i})
+					unconfirmed[j] = unconfirmed[j] || k.rewardWaits(j, i, now)
+					if permitted {
+						rewards[service] = append(rewards[service], itemRef{job: j, item: i})
+					}
 				}
 				continue
 			}
+			unconfirmed[j] = true
+			if !permitted {
+				continue
+			}
 			refs = append(refs, itemRef{job: j, item: i})
 			waiting[service] = append(waiting[service], waitingOf(j, i, len(refs)-1, k.tokensPerEvent(service)))
 		}
 	}
-	k.moveItems(now)
+	k.moveItems(now, unconfirmed)
+	k.confirmWaiting(unconfirmed)
 	for service, list := range waiting {
 		states := k.deps.Fleet.Serving(service)
 		for n := range list {
@@ -227,8 +237,10 @@
 	return m
 }
 
-// moveItems stops running items that would end sooner on another endpoint.
-func (k *Keeper) moveItems(now time.Time) {
+// moveItems stops running items that would end sooner on another endpoint. An item whose
+// batch must be confirmed to be open first, before it may start again, goes on running; its
+// batch is added to unconfirmed.
+func (k *Keeper) moveItems(now time.Time, unconfirmed map[*job]bool) {
 	if now.Sub(k.lastMoveAt) < moveInterval {
 		return
 	}
@@ -252,6 +264,10 @@
 	for service, list := range running {
 		for _, index := range PlanMoves(list, k.deps.Fleet.Serving(service), k.engineMemory(service)) {
 			ref := refs[index]
+			if !ref.job.permission.valid(k.deps.Clock()) {
+				unconfirmed[ref.job] = true
+				continue
+			}
 			r := ref.job.running[ref.item]
 			r.moved = true
 			event.ItemMoved.Log(k.deps.Logger, zap.String("batch", ref.job.head.ID),
@@ -297,10 +313,11 @@
 	return w
 }
 
-// startRun starts an item on an endpoint. It returns false if the last permit for the
-// endpoint has been used meanwhile. The caller holds the lock.
+// startRun starts an item on an endpoint. It returns false if the item may not start any
+// more or the last permit for the endpoint has been used meanwhile. The caller holds the
+// lock.
 func (k *Keeper) startRun(j *job, i int, target fleet.Target) bool {
-	if !k.deps.Fleet.Begin(target.ID()) {
+	if !j.permission.valid(k.deps.Clock()) || !k.deps.Fleet.Begin(target.ID()) {
 		return false
 	}
 	ctx, cancel := context.WithCancel(k.ctx)
@@ -335,7 +352,7 @@
 	defer watchdog.Stop()
 	reply := k.deps.Engine.Send(ctx, target, relay.Request{
 		ID: it.ID, Host: j.head.Host, Method: http.MethodPost, Target: it.Path, Header: it.Header,
-		Body: it.Body, LastEventID: last, Repeatable: true,
+		Body: it.Body, LastEventID: last, Repeatable: true, Permitted: func() bool { return k.mayStart(j) },
 	})
 	answer, ok := reply.(relay.Answer)
 	if !ok {
@@ -448,6 +465,10 @@
 		k.finishText(j, i)
 		return
 	}
+	if errors.Is(err, relay.ErrNotPermitted) {
+		event.ItemNotPermitted.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID), zap.String("endpoint", target.ID()))
+		return
+	}
 	if k.ctx.Err() != nil || pathLost(reply, err) {
 		return
 	}
@@ -491,6 +512,9 @@
 }
 
 func fleetResult(ctx context.Context, reply relay.Reply, err error) fleet.Result {
+	if errors.Is(err, relay.ErrNotPermitted) {
+		return fleet.Cancelled
+	}
 	switch r := reply.(type) {
 	case relay.NotRun:
 		return fleet.Failed
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -129,6 +129,7 @@
 // that the batch has ended; there is no job then. It also loads the checkpoint
 // into the cache of partial output.
 func (k *Keeper) loadJob(ctx context.Context, head Head) (j *job, ended bool, err error) {
+	askedAt := k.deps.Clock()
 	_, err = object.GetImmutable(ctx, k.deps.Store, kindEnds, head.ID)
 	if err == nil {
 		return nil, true, nil
@@ -141,6 +142,7 @@
 		return nil, false, err
 	}
 	j = k.newJob(head, s)
+	j.permission.confirm(askedAt)
 	for {
 		c, err := k.readChunk(ctx, head.ID, j.results.Chunks())
 		if errors.Is(err, object.ErrNotFound) {
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -10,14 +10,13 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/object"
-	"github.com/currantloft/currantloft/waits"
 )
 
 // sweepLoop takes over batches that this node should own, releases those that
 // another node should own, and lists the batches in the store periodically.
 func (k *Keeper) sweepLoop() {
 	started, discovered := time.Now(), false
-	lastListAt, lastBoottime := time.Time{}, waits.Boottime()
+	lastListAt, lastBoottime := time.Time{}, k.deps.Clock()
 	ticker := time.NewTicker(peersPoll)
 	defer ticker.Stop()
 	// Listing takes seconds while the store is unavailable; takeovers and the
@@ -33,7 +32,7 @@
 		case listErr = <-listResults:
 			listing = false
 		}
-		now, boottime := time.Now(), waits.Boottime()
+		now, boottime := time.Now(), k.deps.Clock()
 		if boottime-lastBoottime > pauseLimit {
 			event.NodeWasPaused.Log(k.deps.Logger, zap.Duration("pause", boottime-lastBoottime))
 			k.markAllUncertain()
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -87,6 +87,15 @@
 	return found, found.Head.ID != ""
 }
 
+// FindAt asks a named host for a batch.
+func (p *peerClient) FindAt(ctx context.Context, name, id string) (batch.Notification, error) {
+	frame, err := p.callHost(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchFind{BatchFind: &wirepb.BatchFind{Id: id}}})
+	if err != nil {
+		return batch.Notification{}, err
+	}
+	return decodeNotification(frame.GetBatchNotice()), nil
+}
+
 // notifyLost notifies the hubs of a host that does not answer, and the hosts that
 // belong to this one if it may own batches. Of another host they learn by their next
 // hello: when hundreds of hosts start again at the same time, many seem dead for a
--- a/event/event.go
+++ b/event/event.go
@@ -136,6 +136,9 @@
 	ItemScored              = define(896, "item_scored", zapcore.DebugLevel)
 	RewardRouteMissing      = define(897, "reward_route_missing", zapcore.WarnLevel)
 	ItemRestarted           = define(898, "item_restarted", zapcore.InfoLevel)
+	BatchEndFound           = define(899, "batch_end_found", zapcore.InfoLevel)
+	BatchStartsHeld         = define(900, "batch_starts_held", zapcore.WarnLevel)
+	ItemNotPermitted        = define(901, "item_not_permitted", zapcore.InfoLevel)
 
 	VersionNamed       = define(880, "version_named", zapcore.InfoLevel)
 	VersionUnreadable  = define(881, "version_unreadable", zapcore.ErrorLevel)
--- a/grade/grade.go
+++ b/grade/grade.go
@@ -96,7 +96,7 @@
 	var placed []Placement
 	for _, i := range order(calls) {
 		c := calls[i]
-		if !c.wantsAttempt(now) {
+		if !c.WantsAttempt(now) {
 			continue
 		}
 		best := choose(c, states, node)
@@ -109,9 +109,9 @@
 	return placed
 }
 
-// wantsAttempt reports whether a call has no attempt in flight, or one that has
+// WantsAttempt reports whether a call has no attempt in flight, or one that has
 // taken longer than the hedge delay.
-func (c *Call) wantsAttempt(now time.Time) bool {
+func (c *Call) WantsAttempt(now time.Time) bool {
 	n := len(c.InFlight)
 	return n == 0 || n < maxInFlight && now.Sub(c.InFlight[n-1].SentAt) >= c.HedgeDelay
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -20,6 +21,10 @@
 	"github.com/currantloft/currantloft/fleet"
 )
 
+// ErrNotPermitted reports that a request was no longer permitted when it was about to be
+// written. That says nothing of the endpoint.
+var ErrNotPermitted = errors.New("the request is not permitted any more")
+
 type (
 	// Request is one request of a caller, or an item of a batch.
 	Request struct {
@@ -47,6 +52,10 @@
 		// Caller is a hash of the request's headers that identifies the caller. It is
 		// the same for all attempts of one caller.
 		Caller uint64
+		// Permitted is asked right before bytes of the request are written to the endpoint;
+		// nil means always. If it reports false, the request has not run, and the cause of
+		// the reply is ErrNotPermitted.
+		Permitted func() bool
 	}
 
 	// Reply is the result of one attempt at an endpoint: Answer, NotRun or Lost.
