feat(platform): requests need the key of a team, and endpoints get the team instead

Callers of a deployment with teams were served without a key, and their keys reached the endpoints. A request without a valid key is now answered 401, or 503 if the host has no configuration or can't tell whether a newer one holds the key, before its body has come. The key and a Tenant header of the caller are removed from a copy of the headers, and Tenant is set from the key's team in everything that is sent for a team: attempts, hedges and resumed streams use one request, connections through other hosts carry the same bytes, and items of batches bear the team of the batch's head. Reward calls bear neither.

The age of the configuration is that of its own kind in the mirror: the boot time at which the last fresh list was sent, or at which an update that follows a list arrived with nothing missing. A watch does not count, since one that was dropped reports no error.

The hash of the caller is made of the headers that the endpoint gets, so a request can't evade its quarantine by another key of its team. Without teams it is as before.

Ruled out: refusing a request without any key with 503 at a host with an old copy.

--- a/batch/run.go
+++ b/batch/run.go
@@ -335,7 +335,7 @@
 	defer watchdog.Stop()
 	reply := k.deps.Engine.Send(ctx, target, relay.Request{
 		ID: it.ID, Host: j.head.Host, Method: http.MethodPost, Target: it.Path, Header: it.Header,
-		Body: it.Body, LastEventID: last, Repeatable: true,
+		Body: it.Body, LastEventID: last, Repeatable: true, Team: j.head.Team,
 	})
 	answer, ok := reply.(relay.Answer)
 	if !ok {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,6 +25,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/currantloft/currantloft/access"
 	"github.com/currantloft/currantloft/batch"
 	"github.com/currantloft/currantloft/detour"
 	"github.com/currantloft/currantloft/event"
@@ -138,7 +139,7 @@
 	})
 	e.keeper = batch.New(batch.Deps{
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
-		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour}, Peers: e.peers, IsLeader: e.isLeader,
+		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour, Routes: e.table.Load}, Peers: e.peers, IsLeader: e.isLeader,
 		Policy: options.Policy.items, Retention: settings.Retention(), Routes: e.table.Load,
 		Decode: platform.DecodeBatch, Scope: e.meter.Scope(), Logger: logger,
 	})
@@ -176,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	handler := platform.NewHandler(e, e.logger)
+	handler := platform.NewHandler(e, e.meter.Scope(), e.logger)
 	servers, err := e.listen(handler)
 	if err != nil {
 		return errors.Join(err, peerServer.Close())
@@ -302,6 +303,18 @@
 // Routes returns the configuration in force.
 func (e *Edge) Routes() *routes.Table { return e.table.Load() }
 
+// ConfigAge returns how long ago the configuration in force was last confirmed to be the
+// newest one.
+func (e *Edge) ConfigAge() time.Duration { return e.mirror.Age(platform.KindConfig) }
+
+// KeyPolicy returns how the age of the configuration affects decisions on keys.
+func (e *Edge) KeyPolicy() access.Policy {
+	settings := e.settings.Load()
+	return access.Policy{
+		ConfirmLimit: settings.ConfigApplyLimit(), FailClosed: settings.RevokeFailClosed(), RevokeLimit: settings.RevokeLimit(),
+	}
+}
+
 // Addresses returns the addresses that callers may connect to, and for how long
 // the answer may be cached.
 func (e *Edge) Addresses() ([]string, time.Duration) {
--- a/event/event.go
+++ b/event/event.go
@@ -107,6 +107,7 @@
 	AttemptFailed      = define(840, "attempt_failed", zapcore.InfoLevel)
 	RequestNotAnswered = define(841, "request_not_answered", zapcore.WarnLevel)
 	RequestRejected    = define(842, "request_rejected", zapcore.InfoLevel)
+	KeyRefused         = define(843, "key_refused", zapcore.InfoLevel)
 
 	BatchAccepted           = define(860, "batch_accepted", zapcore.InfoLevel)
 	BatchAcceptedBefore     = define(861, "batch_accepted_before", zapcore.InfoLevel)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -21,6 +21,7 @@
 	"errors"
 	"iter"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -138,6 +139,9 @@
 		removals  map[string]uint64
 		// listed is true once the copy is complete, by a list of this node's own.
 		listed bool
+		// confirmedAt is the boot time at which the copy was last known to be up to date,
+		// 0 if it never was.
+		confirmedAt time.Duration
 	}
 )
 
@@ -291,6 +295,7 @@
 		if !due {
 			continue
 		}
+		listedAt := waits.Boottime()
 		first = first || freshness == object.Stale
 		entries, revision, err := m.store.List(ctx, kind, freshness)
 		if err != nil {
@@ -300,6 +305,9 @@
 			return false
 		}
 		updates = append(updates, m.applyList(kind, entries, revision, unavailable))
+		if freshness == object.Fresh {
+			m.confirm(kind, listedAt)
+		}
 	}
 	if broadcast && !first {
 		m.fleet.Broadcast(updates)
@@ -410,6 +418,26 @@
 	return c != nil && c.listed
 }
 
+// confirm records that the copy of a kind was up to date at a boot time.
+func (m *Mirror) confirm(kind string, at time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[kind]
+	c.confirmedAt = max(c.confirmedAt, at)
+}
+
+// Age returns how long ago the copy of a kind was last known to be up to date. It counts
+// time in which the system was suspended.
+func (m *Mirror) Age(kind string) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.kinds[kind]
+	if c == nil || c.confirmedAt == 0 {
+		return math.MaxInt64
+	}
+	return max(0, waits.Boottime()-c.confirmedAt)
+}
+
 // unknown returns the changes that may be missing in the copy. An object that changed
 // before the revision up to which the copy is complete, and is not in it, has been
 // removed since.
@@ -455,7 +483,14 @@
 	for _, update := range updates {
 		if c := m.kinds[update.Kind]; c != nil {
 			c.apply(c.unknown(update.Changes), update.Unavailable)
-			missing = c.receive(update) && c.listed || missing
+			known := c.revision
+			incomplete := c.receive(update)
+			// A watch may be late, and an update may be overtaken: only the newest list
+			// tells that nothing has changed.
+			if !incomplete && c.listed && update.Names != 0 && update.Revision >= known {
+				c.confirmedAt = waits.Boottime()
+			}
+			missing = incomplete && c.listed || missing
 			kinds[update.Kind] = true
 		}
 	}
