feat(batch): a batch belongs to the team that submitted it

Any caller could read or end the batch of another team, and learn of it by submitting its id again. Reads, item bodies, ends and repeated submissions now need a key of the batch's team; for another team's key the answer is that for an unknown batch, byte for byte. The node that the caller talks to decides, by the head: from memory, a hub or the store. A batch of a public route, or from before there were teams, is accessible to any caller. Without teams no call is added.

A notice from a node of the previous release has no team, which differs from one that says there is none (the field has presence now). The team is then read from the stored head before the batch is decided on or its items run. An offer for an id that has a head already is not held, so that another team's items can't run in that batch.

Ruled out: reading the stored head of every batch without a team, a store call for each batch of a public route at each host.

Not closed: two teams that submit the same new id at the same time, or one whose body was stored without a head, share that body's objects.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -117,6 +117,9 @@
 		BodyParts int `json:"parts"`
 		// Team is the team that submitted the batch, empty without teams.
 		Team string `json:"team,omitempty"`
+		// TeamUnknown is true if a node of a release without teams sent the head. The
+		// stored head has the team.
+		TeamUnknown bool `json:"-"`
 	}
 
 	// chunk is a stored sequence of results.
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -60,6 +60,9 @@
 	}
 	k.mu.Unlock()
 	if known != nil {
+		if err := k.checkTeam(ctx, s); err != nil {
+			return Rejected{RetryAfter: acceptRetryAfter, Cause: err}
+		}
 		event.BatchAcceptedBefore.Log(k.deps.Logger, zap.String("batch", s.ID))
 		return Stored{Before: true}
 	}
@@ -80,6 +83,10 @@
 	if !ok {
 		return outcome
 	}
+	if !k.mayUse(s.Team, head.Team) {
+		k.Apply(Notification{Head: head})
+		return Rejected{Cause: ErrUnknown}
+	}
 	k.deps.Scope.Timer("accept_time").Record(time.Since(start))
 	if stored.Before {
 		event.BatchAcceptedBefore.Log(k.deps.Logger, zap.String("batch", s.ID), zap.String("keeper", head.Keeper))
@@ -151,6 +158,10 @@
 	if k.leaving {
 		return false
 	}
+	if k.batches[id] != nil && k.hasTeams() {
+		// The batch has a head already. Another team's submission must not replace its items.
+		return true
+	}
 	if len(k.offers) >= maxOffers {
 		// Most of these offers were never accepted. A batch that is accepted later is
 		// read from the store.
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -213,6 +213,8 @@
 	if h == nil {
 		h = &knownBatch{head: notification.Head}
 		k.batches[id] = h
+	} else if !notification.Head.TeamUnknown {
+		h.head.Team, h.head.TeamUnknown = notification.Head.Team, false
 	}
 	h.handedOver = h.handedOver || notification.HandedOver
 	if notification.HandedOver {
@@ -229,8 +231,13 @@
 	}
 	if s, offered := k.offers[id]; offered {
 		delete(k.offers, id)
+		known := h.head
 		h.head = notification.Head
-		if !notification.Ended && k.owns(h.head) {
+		if h.head.TeamUnknown {
+			h.head.Team, h.head.TeamUnknown = known.Team, known.TeamUnknown
+		}
+		// Without its team the batch is taken over from the store instead.
+		if !notification.Ended && k.owns(h.head) && (!h.head.TeamUnknown || !k.hasTeams()) {
 			k.startJob(k.newJob(h.head, s))
 		}
 	}
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -35,6 +35,8 @@
 		// undiscovered makes the nodes behave as if they had not discovered all
 		// peers; set it before the first keeper.
 		undiscovered bool
+		// teams are the teams of the configuration; set them before the first keeper.
+		teams []routes.Team
 	}
 
 	// clusterPeers is one keeper's view of the cluster.
@@ -200,7 +202,7 @@
 	}, {
 		Host: "h", Prefix: rewardPath, Kind: routes.Idempotent, Shares: []routes.Share{{Service: "judge", Weight: 1}},
 		MaxAttempts: 2, TargetLatency: 200 * time.Millisecond, Timeout: testLimit,
-	}}, nil, nil, routes.Limits{})
+	}}, nil, p.cluster.teams, routes.Limits{})
 	k := New(Deps{
 		Name: p.name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
 		Policy: LongestFirst{},
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -136,6 +136,11 @@
 	if !errors.Is(err, object.ErrNotFound) {
 		return nil, false, err
 	}
+	if head.TeamUnknown && k.hasTeams() {
+		if head.Team, err = k.storedTeam(ctx, head.ID); err != nil {
+			return nil, false, err
+		}
+	}
 	s, err := k.loadSubmission(ctx, head)
 	if err != nil {
 		return nil, false, err
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -337,6 +337,9 @@
 	return e.keeper.Read(ctx, id, after, wait)
 }
 
+// Team returns the team that submitted a batch, empty for none.
+func (e *Edge) Team(ctx context.Context, id string) (string, error) { return e.keeper.Team(ctx, id) }
+
 // Body returns the body of an item.
 func (e *Edge) Body(ctx context.Context, id, item string) ([]byte, error) {
 	return e.keeper.Body(ctx, id, item)
--- a/edge/encode.go
+++ b/edge/encode.go
@@ -104,12 +104,15 @@
 }
 
 func encodeNotification(n batch.Notification) *wirepb.BatchNotice {
-	return &wirepb.BatchNotice{
+	notice := &wirepb.BatchNotice{
 		Id: n.Head.ID, Host: n.Head.Host, Path: n.Head.Path, Model: n.Head.Model, Step: int64(n.Head.Step),
 		Items: int64(n.Head.Items), Keeper: n.Head.Keeper, Incarnation: n.Head.Incarnation,
 		AcceptedMs: n.Head.AcceptedMs, Parts: int64(n.Head.BodyParts), Tokens: int64(n.Head.Tokens), Ended: n.Ended, Handed: n.HandedOver, Taken: n.TakenOver,
-		Team: n.Head.Team,
 	}
+	if !n.Head.TeamUnknown {
+		notice.Team = &n.Head.Team
+	}
+	return notice
 }
 
 func decodeNotification(n *wirepb.BatchNotice) batch.Notification {
@@ -118,6 +121,7 @@
 			ID: n.GetId(), Host: n.GetHost(), Path: n.GetPath(), Model: n.GetModel(), Step: int(n.GetStep()),
 			Items: int(n.GetItems()), Keeper: n.GetKeeper(), Incarnation: n.GetIncarnation(),
 			AcceptedMs: n.GetAcceptedMs(), BodyParts: int(n.GetParts()), Tokens: int(n.GetTokens()), Team: n.GetTeam(),
+			TeamUnknown: n.Team == nil,
 		},
 		Ended: n.GetEnded(), HandedOver: n.GetHanded(), TakenOver: n.GetTaken(),
 	}
