--- a/batch/calls.go
+++ b/batch/calls.go
@@ -60,6 +60,13 @@
 	}
 	k.mu.Unlock()
 	if known != nil {
+		switch err := k.checkTeam(ctx, s); {
+		case errors.Is(err, ErrUnknown):
+			return Rejected{Cause: err}
+		case err != nil:
+			// The batch may be this team's and run.
+			return OutcomeUnknown{Cause: err}
+		}
 		event.BatchAcceptedBefore.Log(k.deps.Logger, zap.String("batch", s.ID))
 		return Stored{Before: true}
 	}
@@ -82,6 +89,10 @@
 	if !ok {
 		return outcome
 	}
+	if !k.mayUse(s.Team, head.Team) {
+		k.Apply(Notification{Head: head})
+		return Rejected{Cause: ErrUnknown}
+	}
 	k.deps.Scope.Timer("accept_time").Record(time.Since(start))
 	if stored.Before {
 		event.BatchAcceptedBefore.Log(k.deps.Logger, zap.String("batch", s.ID), zap.String("keeper", head.Keeper))
@@ -157,6 +168,10 @@
 	if k.leaving {
 		return false
 	}
+	if k.batches[id] != nil && k.hasTeams() {
+		// The batch has a head already. Another team's submission must not replace its items.
+		return true
+	}
 	if len(k.offers) >= maxOffers {
 		// Most of these offers were never accepted. A batch that is accepted later is
 		// read from the store.
