--- a/batch/plan.go
+++ b/batch/plan.go
@@ -127,8 +127,28 @@
 		eventInterval time.Duration
 		used          int
 	}
+
+	// candidateList holds the endpoints of one pass, with what is read of them for each
+	// item.
+	candidateList struct {
+		list []candidate
+		// limited reports whether an endpoint limits requests.
+		limited bool
+		models  map[string]*modelVersions
+	}
+
+	// modelVersions holds the weight versions of one model.
+	modelVersions struct {
+		// versions is the version at each candidate, noVersion if the model is missing
+		// or its weights are being changed there.
+		versions []int
+		newest   int
+	}
 )
 
+// noVersion marks an endpoint that can't generate output of a model now.
+const noVersion = -1
+
 // Plan places waiting items on endpoints. It orders them by the due time of
 // their batch, then by the longest item of their group, then by their own
 // length, longest first, since the longest items decide when a group is
@@ -153,7 +173,7 @@
 		if best < 0 {
 			continue
 		}
-		c := &candidates[best]
+		c := &candidates.list[best]
 		c.free--
 		c.used += w.Tokens
 		c.state = c.state.Reserve()
@@ -171,9 +191,10 @@
 // endpoint, but prove to be long.
 func PlanMoves(running []RunningItem, states []fleet.State, memory Memory) []int {
 	candidates := candidatesOf(states, memory)
-	byEndpoint := make(map[string]*candidate, len(candidates))
-	for i := range candidates {
-		byEndpoint[candidates[i].state.Entry.ID] = &candidates[i]
+	list := candidates.list
+	byEndpoint := make(map[string]*candidate, len(list))
+	for i := range list {
+		byEndpoint[list[i].state.Entry.ID] = &list[i]
 	}
 	var moves []int
 	for _, r := range running {
@@ -185,16 +206,16 @@
 		best := fastestCandidate(r.WaitingItem, candidates, memory.Capacity, "")
 		// A move takes one more request, which an endpoint with a limit has for items that
 		// don't run yet.
-		if best < 0 || candidates[best].state.Entry.ID == r.Endpoint || candidates[best].state.Limited {
+		if best < 0 || list[best].state.Entry.ID == r.Endpoint || list[best].state.Limited {
 			continue
 		}
-		if float64(current.eventInterval) < minMoveSpeedup*float64(candidates[best].eventInterval) {
+		if float64(current.eventInterval) < minMoveSpeedup*float64(list[best].eventInterval) {
 			continue
 		}
-		gain := time.Duration(r.remainingEvents()) * (current.eventInterval - candidates[best].eventInterval)
+		gain := time.Duration(r.remainingEvents()) * (current.eventInterval - list[best].eventInterval)
 		if gain > moveCost+moveCost/2*time.Duration(r.DoneEvents)/defaultStride {
-			candidates[best].free--
-			candidates[best].used += r.Tokens
+			list[best].free--
+			list[best].used += r.Tokens
 			moves = append(moves, r.Index)
 		}
 	}
@@ -206,9 +227,9 @@
 // their estimate count as unfinished.
 func (r RunningItem) remainingEvents() int { return max(r.Events, r.DoneEvents/2) }
 
-func candidatesOf(states []fleet.State, memory Memory) []candidate {
+func candidatesOf(states []fleet.State, memory Memory) *candidateList {
 	median := medianEventInterval(states)
-	candidates := make([]candidate, 0, len(states))
+	candidates := &candidateList{list: make([]candidate, 0, len(states)), models: make(map[string]*modelVersions)}
 	for _, s := range states {
 		eventInterval := s.EventInterval
 		if eventInterval == 0 {
@@ -217,12 +238,32 @@
 		free := s.Entry.Slots - s.Busy()
 		if s.Limited {
 			free = min(free, s.Permits)
+			candidates.limited = true
 		}
-		candidates = append(candidates, candidate{state: s, free: free, eventInterval: eventInterval, used: memory.Used[s.Entry.ID]})
+		candidates.list = append(candidates.list, candidate{state: s, free: free, eventInterval: eventInterval, used: memory.Used[s.Entry.ID]})
 	}
 	return candidates
 }
 
+// versionsOf returns the weight versions of a model. They don't change within a pass.
+func (l *candidateList) versionsOf(model string) *modelVersions {
+	if m := l.models[model]; m != nil {
+		return m
+	}
+	m := &modelVersions{versions: make([]int, len(l.list))}
+	for i := range l.list {
+		state := &l.list[i].state
+		version, ok := state.Entry.Versions[model]
+		m.newest = max(m.newest, version)
+		if !ok || state.ChangingModel == model {
+			version = noVersion
+		}
+		m.versions[i] = version
+	}
+	l.models[model] = m
+	return m
+}
+
 // medianEventInterval returns the lower median of the known event intervals.
 func medianEventInterval(states []fleet.State) time.Duration {
 	var eventIntervals []time.Duration
@@ -267,20 +308,20 @@
 
 // fastestCandidate returns the index of the endpoint where an item is expected
 // to end first, -1 for none.
-func fastestCandidate(w WaitingItem, candidates []candidate, capacity int, preferred string) int {
-	newest, limited := 0, false
-	for i := range candidates {
-		newest = max(newest, candidates[i].state.Entry.Versions[w.Model])
-		limited = limited || candidates[i].state.Limited
+func fastestCandidate(w WaitingItem, candidates *candidateList, capacity int, preferred string) int {
+	fill := maxFillShare(w.Events)
+	if candidates.limited {
+		fill = max(fill, limitedFillShare)
 	}
+	model := candidates.versionsOf(w.Model)
 	best, bestCost := -1, time.Duration(0)
-	for i := range candidates {
-		c := &candidates[i]
-		fill := maxFillShare(w.Events)
-		if limited {
-			fill = max(fill, limitedFillShare)
+	for i := range candidates.list {
+		version := model.versions[i]
+		if version == noVersion || version < w.MinVersion || w.PinnedVersion != 0 && version != w.PinnedVersion {
+			continue
 		}
-		if float64(c.state.Busy()) >= fill*float64(c.state.Entry.Slots) || !c.usable(w) {
+		c := &candidates.list[i]
+		if !c.available() || float64(c.state.Busy()) >= fill*float64(c.state.Entry.Slots) || !c.continues(w) {
 			continue
 		}
 		slowdown := 1 + slowdownPerRequest*float64(c.state.Busy())
@@ -292,7 +333,7 @@
 		if c.state.Entry.ID != preferred {
 			cost += promptReadCost
 		}
-		if w.Events >= longItemEvents && c.state.Entry.Versions[w.Model] < newest {
+		if w.Events >= longItemEvents && version < model.newest {
 			cost += oldVersionCost
 		}
 		if c.state.Limited && w.Events < longItemEvents {
@@ -375,13 +416,14 @@
 // returns false if the item has no partial output or need not wait, or if no other
 // endpoint can start it.
 func (w WaitingItem) restartDelay(states []fleet.State, regeneration time.Duration, restarts int) (time.Duration, bool) {
+	if !w.versionUnavailable(states) && !w.crowdedOut(states) {
+		return 0, false
+	}
 	known := slices.ContainsFunc(states, func(s fleet.State) bool {
 		s.ChangingModel = ""
 		return versionFits(w, s)
 	})
 	switch {
-	case !w.versionUnavailable(states) && !w.crowdedOut(states):
-		return 0, false
 	case !known:
 		return minRestartDelay, true
 	default:
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -372,3 +372,29 @@
 	check.Equal(t, "popped twice", usable(cache, 3, false, now), false)
 	check.Equal(t, "bytes left", cache.bytes, 0)
 }
+
+// BenchmarkPlanLargeFleet plans a batch of 184 items on 3,000 engines with three models,
+// of which a third have the version that the batch needs. A pass this large is needed a few
+// times a second.
+func BenchmarkPlanLargeFleet(b *testing.B) {
+	const endpoints, items = 3000, 184
+	states := make([]fleet.State, endpoints)
+	for i := range states {
+		versions := map[string]int{"a": 1, "b": 1, "c": 1}
+		versions[string(rune('a'+i%3))] = 2
+		states[i] = fleet.State{
+			Entry:         fleet.Entry{ID: fmt.Sprintf("e%04d", i), Service: "pool", Slots: 8, Versions: versions},
+			EventInterval: time.Duration(30+i%17) * time.Millisecond,
+		}
+	}
+	waiting := make([]WaitingItem, items)
+	for i := range waiting {
+		waiting[i] = WaitingItem{Index: i, Batch: "s", Group: fmt.Sprint(i / 8), Model: "a", MinVersion: 2, Events: 5 + i%40, Tokens: 900}
+	}
+	for b.Loop() {
+		placed := Plan(waiting, states, Memory{Capacity: 40000}, make(GroupEndpoints))
+		if len(placed) != items {
+			b.Fatalf("%d items placed, want %d", len(placed), items)
+		}
+	}
+}
--- a/batch/policy.go
+++ b/batch/policy.go
@@ -52,21 +52,22 @@
 
 // chooseEndpoint returns the index of the endpoint on which a policy places an
 // item, -1 for none.
-func chooseEndpoint(policy Policy, w WaitingItem, candidates []candidate, capacity int, preferred string) int {
+func chooseEndpoint(policy Policy, w WaitingItem, candidates *candidateList, capacity int, preferred string) int {
+	list := candidates.list
 	switch policy.(type) {
 	case LeastBusy:
 		best, bestShare := -1, 0.0
-		for i := range candidates {
-			share := float64(candidates[i].state.Busy()) / float64(max(1, candidates[i].state.Entry.Slots))
-			if candidates[i].usable(w) && (best < 0 || share < bestShare) {
+		for i := range list {
+			share := float64(list[i].state.Busy()) / float64(max(1, list[i].state.Entry.Slots))
+			if list[i].usable(w) && (best < 0 || share < bestShare) {
 				best, bestShare = i, share
 			}
 		}
 		return best
 	case Random:
 		var available []int
-		for i := range candidates {
-			if candidates[i].usable(w) {
+		for i := range list {
+			if list[i].usable(w) {
 				available = append(available, i)
 			}
 		}
@@ -83,5 +84,13 @@
 
 // usable reports whether the item may be placed on the candidate at all.
 func (c *candidate) usable(w WaitingItem) bool {
-	return c.free > 0 && !c.state.Paused && !c.state.Full && versionFits(w, c.state)
+	return c.available() && versionFits(w, c.state)
+}
+
+// available reports whether the candidate takes another request now.
+func (c *candidate) available() bool { return c.free > 0 && !c.state.Paused && !c.state.Full }
+
+// continues reports whether the candidate may continue the item's partial output.
+func (c *candidate) continues(w WaitingItem) bool {
+	return w.Software == "" || c.state.Entry.Software().Continues(w.Software)
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -16,12 +16,19 @@
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/reach"
 	"github.com/currantloft/currantloft/relay"
+	"github.com/currantloft/currantloft/waits"
 )
 
 const (
 	// rescheduleInterval is how often waiting items are scheduled again when
 	// nothing has changed.
 	rescheduleInterval = 100 * time.Millisecond
+	// passPauseFactor makes a scheduling pass take a third of the processor at most: the
+	// pause after it is this many times as long as the pass. With thousands of endpoints a
+	// pass takes milliseconds, and the entries of endpoints change dozens of times a second.
+	passPauseFactor = 2
+	// maxPassPause limits that pause.
+	maxPassPause = rescheduleInterval
 	// moveInterval is how often running items are considered for a move.
 	moveInterval = 250 * time.Millisecond
 	// stallTimeout is how long a stream may deliver no event before the item is
@@ -68,7 +75,9 @@
 func (k *Keeper) scheduleLoop() {
 	for {
 		permits := k.deps.Fleet.Limits().Changed()
+		began := time.Now()
 		active := k.schedule()
+		pause := passPause(time.Since(began))
 		var recheck <-chan time.Time
 		var timer *time.Timer
 		if active {
@@ -85,12 +94,15 @@
 		if timer != nil {
 			timer.Stop()
 		}
-		if k.ctx.Err() != nil {
+		if waits.For(k.ctx, pause) != nil {
 			return
 		}
 	}
 }
 
+// passPause returns the pause after a scheduling pass that took the given time.
+func passPause(took time.Duration) time.Duration { return min(maxPassPause, passPauseFactor*took) }
+
 // itemRef identifies an item of a job.
 type itemRef struct {
 	job  *job
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -129,9 +130,12 @@
 	Fleet struct {
 		mu        sync.Mutex
 		endpoints map[string]*endpoint
-		now       func() time.Time
-		changed   chan struct{}
-		limits    *quota.Book
+		// members holds the sorted IDs of each service's endpoints, without services
+		// whose endpoints have changed since it was read.
+		members map[string][]string
+		now     func() time.Time
+		changed chan struct{}
+		limits  *quota.Book
 		// leaving holds what endpoints' answers have said, by ID.
 		leaving   map[string]leavingFact
 		onLeaving func(target Target, origin string)
@@ -159,7 +163,7 @@
 // New returns an empty fleet with the given clock.
 func New(now func() time.Time) *Fleet {
 	return &Fleet{
-		endpoints: make(map[string]*endpoint), now: now, changed: make(chan struct{}), limits: quota.NewBook(now, nil),
+		endpoints: make(map[string]*endpoint), members: make(map[string][]string), now: now, changed: make(chan struct{}), limits: quota.NewBook(now, nil),
 		leaving: make(map[string]leavingFact),
 	}
 }
@@ -235,6 +239,11 @@
 		}
 		e = &endpoint{inFlight: inFlight}
 		f.endpoints[entry.ID] = e
+		delete(f.members, entry.Service)
+	}
+	if e.entry.Service != entry.Service {
+		delete(f.members, e.entry.Service)
+		delete(f.members, entry.Service)
 	}
 	e.setEntry(entry)
 	e.removeAt = time.Time{}
@@ -271,23 +280,45 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	var states []State
-	for id, e := range f.endpoints {
+	ids := f.membersOf(service)
+	states := make([]State, 0, len(ids))
+	for _, id := range ids {
+		e := f.endpoints[id]
 		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
 			if e.inFlight == 0 {
 				delete(f.endpoints, id)
+				delete(f.members, service)
 			}
 			continue
 		}
-		if e.entry.Service != service || f.leaves(e.entry) {
+		if f.leaves(e.entry) {
 			continue
 		}
 		states = append(states, f.state(e, now))
 	}
-	sort.Slice(states, func(i, j int) bool { return states[i].Entry.ID < states[j].Entry.ID })
 	return states
 }
 
+// membersOf returns the sorted IDs of a service's endpoints. The caller holds the lock
+// and must not change the result.
+//
+// A fleet of thousands of endpoints is read for each request and each pass of the
+// scheduler, and rarely changes its members.
+func (f *Fleet) membersOf(service string) []string {
+	ids, ok := f.members[service]
+	if ok {
+		return ids
+	}
+	for id, e := range f.endpoints {
+		if e.entry.Service == service {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	f.members[service] = ids
+	return ids
+}
+
 // HasAddress reports whether an endpoint listens at the address.
 func (f *Fleet) HasAddress(address string) bool {
 	f.mu.Lock()
@@ -409,9 +440,9 @@
 		return shortest
 	}
 	interval := e.usualInterval(now)
-	for _, other := range f.endpoints {
-		if e.usualInterval(now) == 0 && other.entry.Service == e.entry.Service {
-			interval = max(interval, other.usualInterval(now))
+	if interval == 0 {
+		for _, id := range f.membersOf(e.entry.Service) {
+			interval = max(interval, f.endpoints[id].usualInterval(now))
 		}
 	}
 	return max(shortest, min(longest, stallIntervals*interval))
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/quota"
 )
 
@@ -221,3 +222,32 @@
 		})
 	}
 }
+
+// TestServingFollowsMembers guards against an index of services that misses endpoints that
+// came, went or changed their service.
+func TestServingFollowsMembers(t *testing.T) {
+	now := time.Unix(100, 0)
+	f := New(func() time.Time { return now })
+	put := func(id, service string) { f.Put(Entry{ID: id, Service: service, Address: "x:1", Slots: 1}) }
+	serving := func(service string) []string {
+		var ids []string
+		for _, s := range f.Serving(service) {
+			ids = append(ids, s.Entry.ID)
+		}
+		return ids
+	}
+	check.Equal(t, "before any", len(serving("a")), 0)
+	put("2", "a")
+	put("1", "a")
+	put("3", "b")
+	check.Equal(t, "sorted", serving("a"), []string{"1", "2"})
+	put("3", "a")
+	check.Equal(t, "gained", serving("a"), []string{"1", "2", "3"})
+	check.Equal(t, "lost", len(serving("b")), 0)
+	f.Remove("1", time.Second)
+	check.Equal(t, "within its grace period", serving("a"), []string{"1", "2", "3"})
+	now = now.Add(time.Second)
+	check.Equal(t, "removed", serving("a"), []string{"2", "3"})
+	put("1", "a")
+	check.Equal(t, "back", serving("a"), []string{"1", "2", "3"})
+}
