feat(duty): the lease of the order sender and what surrounds it are shared

Reports of usage and orders of endpoints must be made by one host at a time, as the orders to load weight versions are. The lease moves from package orders to package lease, with the name of its object as a parameter; the stored format and the name leases/orders stay. What the order sender did around it moves to package duty: acquiring the lease when something is due, a permit that is judged right before each call is written, and holding off the release while a call may be in progress.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/currantloft/currantloft/detour"
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/lease"
 	"github.com/currantloft/currantloft/meter"
 	"github.com/currantloft/currantloft/mirror"
 	"github.com/currantloft/currantloft/orders"
@@ -70,6 +71,8 @@
 	idleTimeout = 90 * time.Second
 	// headerTimeout limits how long a caller may take to send its headers.
 	headerTimeout = 5 * time.Second
+	// leaseOrders is the name of the lease of the order sender.
+	leaseOrders = "orders"
 )
 
 type (
@@ -144,7 +147,7 @@
 	})
 	e.orderSender = orders.New(orders.Deps{
 		Name: self.Name, Store: e.store, Fleet: e.fleet, Policy: options.Policy.versions,
-		Lease:     orders.NewLease(e.store, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
+		Lease:     lease.New(e.store, leaseOrders, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
 		Endpoints: e.detour, Routes: e.table.Load, IsLeader: e.peers.SendsOrders,
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
--- a/orders/lease.go
+++ b/lease/lease.go
@@ -1,4 +1,14 @@
-package orders
+// Package lease elects the node that performs a duty. The node holds a lease in the
+// platform's store, timed by a clock that includes suspension. The next holder waits
+// until the lease has expired and its previous holder, if it was suspended, has had time
+// to detect this.
+//
+// # Usage
+//
+//	l := lease.New(store, "orders", name, incarnation, length, takeoverDelay, waits.Boottime)
+//	err := l.Acquire(ctx)
+//	epoch, ok := l.Held()
+package lease
 
 import (
 	"context"
@@ -12,23 +22,23 @@
 )
 
 const (
+	// Margin is how long before the lease expires its holder stops sending; it covers a
+	// call in transit.
+	Margin = 700 * time.Millisecond
+
 	kindLeases = "leases"
-	leaseName  = "orders"
-	// leaseMargin is how long before the lease expires its holder stops sending; it
-	// covers an order in transit.
-	leaseMargin = 700 * time.Millisecond
 )
 
 type (
-	// leaseRecord is the lease as stored.
-	leaseRecord struct {
+	// record is the lease as stored.
+	record struct {
 		Holder      string `json:"holder"`
 		Incarnation uint64 `json:"incarnation"`
 		Epoch       uint64 `json:"epoch"`
 		// Renewals makes each renewal change the stored object.
 		Renewals uint64 `json:"renewals"`
-		// Released is true if the holder sends no more orders, and IdleMs is how long ago
-		// it had sent the last one, in milliseconds.
+		// Released is true if the holder makes no more calls, and IdleMs is how long ago
+		// it made the last one, in milliseconds.
 		Released bool  `json:"released,omitempty"`
 		IdleMs   int64 `json:"idle_ms,omitempty"`
 	}
@@ -36,6 +46,7 @@
 	// Lease is one node's view of the lease. It is safe for concurrent use.
 	Lease struct {
 		store         object.Store
+		name          string
 		holder        string
 		incarnation   uint64
 		length        time.Duration
@@ -43,7 +54,7 @@
 		now           func() time.Duration
 
 		mu       sync.Mutex
-		seen     leaseRecord
+		seen     record
 		revision uint64
 		// seenAt is when this node first read the revision, or requested the write
 		// that created it, on the clock that includes suspension.
@@ -54,28 +65,37 @@
 	}
 )
 
-// errLeaseHeld means that another node's lease may not have expired, or that
-// the record was only read in this call.
-var errLeaseHeld = errors.New("another node may hold the lease")
+// ErrHeld means that another node's lease may not have expired, or that the record was
+// only read in this call.
+var ErrHeld = errors.New("another node may hold the lease")
 
-// NewLease returns a lease whose holder has not been read yet. Length is how
-// long a lease is valid without renewal. TakeoverDelay is how much longer the
-// next holder waits, so that a holder that resumes from suspension can detect
+// New returns a lease whose holder has not been read yet. Name is the name of the lease's
+// object. Length is how long a lease is valid without renewal. TakeoverDelay is how much
+// longer the next holder waits, so that a holder that resumes from suspension can detect
 // that its lease has expired.
-func NewLease(
-	store object.Store, holder string, incarnation uint64, length, takeoverDelay time.Duration, now func() time.Duration,
+func New(
+	store object.Store, name, holder string, incarnation uint64, length, takeoverDelay time.Duration, now func() time.Duration,
 ) *Lease {
-	return &Lease{store: store, holder: holder, incarnation: incarnation, length: length, takeoverDelay: takeoverDelay, now: now}
+	return &Lease{
+		store: store, name: name, holder: holder, incarnation: incarnation, length: length, takeoverDelay: takeoverDelay, now: now,
+	}
 }
 
 // Held returns the epoch that this node last read or wrote, and whether the node
-// may send orders now.
+// may make calls now.
 func (l *Lease) Held() (epoch uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.seen.Epoch, l.now() < l.expiresAt
 }
 
+// Holder returns the holder that this node last read or wrote, empty for none.
+func (l *Lease) Holder() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen.Holder
+}
+
 // Now returns the time of the lease's clock, which includes suspension.
 func (l *Lease) Now() time.Duration { return l.now() }
 
@@ -87,7 +107,7 @@
 }
 
 // Acquire renews this node's lease or takes over an expired one. If the record
-// has to be read first, it only does that. It then returns errLeaseHeld, as it
+// has to be read first, it only does that. It then returns ErrHeld, as it
 // does while another node's lease may not have expired.
 func (l *Lease) Acquire(ctx context.Context) error {
 	l.mu.Lock()
@@ -98,9 +118,9 @@
 	}
 	own := seen.Holder == l.holder && seen.Incarnation == l.incarnation
 	if !own && revision > 0 && l.now()-seenAt < l.takeoverWait(seen) {
-		return errLeaseHeld
+		return ErrHeld
 	}
-	next := leaseRecord{Holder: l.holder, Incarnation: l.incarnation, Epoch: seen.Epoch, Renewals: seen.Renewals + 1}
+	next := record{Holder: l.holder, Incarnation: l.incarnation, Epoch: seen.Epoch, Renewals: seen.Renewals + 1}
 	if !own {
 		next.Epoch++
 	}
@@ -109,11 +129,11 @@
 		return fmt.Errorf("encoding the lease: %w", err)
 	}
 	requestedAt := l.now()
-	var record object.Entry
+	var entry object.Entry
 	if revision == 0 {
-		record, err = l.store.Create(ctx, kindLeases, leaseName, spec)
+		entry, err = l.store.Create(ctx, kindLeases, l.name, spec)
 	} else {
-		record, err = l.store.Replace(ctx, kindLeases, leaseName, spec, revision)
+		entry, err = l.store.Replace(ctx, kindLeases, l.name, spec, revision)
 	}
 	if err != nil {
 		// The write may have succeeded, so the record is read before the next try.
@@ -122,14 +142,14 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seen, l.revision, l.seenAt, l.recordCurrent = next, record.Revision, requestedAt, true
-	l.expiresAt = requestedAt + l.length - leaseMargin
+	l.seen, l.revision, l.seenAt, l.recordCurrent = next, entry.Revision, requestedAt, true
+	l.expiresAt = requestedAt + l.length - Margin
 	return nil
 }
 
 // takeoverWait returns how long after its record was first read another node's lease may
-// not be taken over: its last order must be as old as if the lease had expired.
-func (l *Lease) takeoverWait(seen leaseRecord) time.Duration {
+// not be taken over: its last call must be as old as if the lease had expired.
+func (l *Lease) takeoverWait(seen record) time.Duration {
 	wait := l.length + l.takeoverDelay
 	if seen.Released {
 		wait -= time.Duration(seen.IdleMs) * time.Millisecond
@@ -138,8 +158,8 @@
 }
 
 // Release gives up this node's lease, so that the next holder need not wait until it
-// expires. Idle is how long ago this node sent its last order. It must not be called while
-// an order may be sent.
+// expires. Idle is how long ago this node made its last call. It must not be called while
+// a call may be in progress.
 func (l *Lease) Release(ctx context.Context, idle time.Duration) error {
 	l.mu.Lock()
 	released, revision := l.seen, l.revision
@@ -156,7 +176,7 @@
 	if err != nil {
 		return fmt.Errorf("encoding the lease: %w", err)
 	}
-	if _, err := l.store.Replace(ctx, kindLeases, leaseName, spec, revision); err != nil {
+	if _, err := l.store.Replace(ctx, kindLeases, l.name, spec, revision); err != nil {
 		return fmt.Errorf("releasing the lease: %w", err)
 	}
 	return nil
@@ -171,25 +191,25 @@
 }
 
 // readRecord reads the record from the store. Its age counts from when this
-// node first read the revision. On success it returns errLeaseHeld, since the
+// node first read the revision. On success it returns ErrHeld, since the
 // record's age must be checked by the next call of Acquire.
 func (l *Lease) readRecord(ctx context.Context) error {
-	record, err := l.store.Get(ctx, kindLeases, leaseName, object.Fresh)
+	entry, err := l.store.Get(ctx, kindLeases, l.name, object.Fresh)
 	missing := errors.Is(err, object.ErrNotFound)
 	if err != nil && !missing {
 		return fmt.Errorf("reading the lease: %w", err)
 	}
-	var seen leaseRecord
+	var seen record
 	if !missing {
-		if err := json.Unmarshal(record.Spec, &seen); err != nil {
+		if err := json.Unmarshal(entry.Spec, &seen); err != nil {
 			return fmt.Errorf("decoding the lease: %w", err)
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if record.Revision != l.revision || l.seenAt == 0 {
-		l.revision, l.seenAt = record.Revision, l.now()
+	if entry.Revision != l.revision || l.seenAt == 0 {
+		l.revision, l.seenAt = entry.Revision, l.now()
 	}
 	l.seen, l.recordCurrent = seen, true
-	return errLeaseHeld
+	return ErrHeld
 }
--- a/orders/lease_test.go
+++ b/lease/lease_test.go
@@ -1,4 +1,4 @@
-package orders
+package lease
 
 import (
 	"context"
@@ -34,7 +34,7 @@
 }
 
 func newLease(store *memory.Store, name string, clk *clock) *Lease {
-	return NewLease(store, name, 1, testLease, testTakeoverDelay, clk.now)
+	return New(store, "orders", name, 1, testLease, testTakeoverDelay, clk.now)
 }
 
 func TestLeaseIsHeldByOne(t *testing.T) {
@@ -74,7 +74,7 @@
 
 // TestLeaseNeverOverlaps lets nodes acquire the lease, pause and lose answers
 // in random order. It checks that no two nodes hold the lease at the same time,
-// that each epoch has one holder, and that at least leaseMargin lies between
+// that each epoch has one holder, and that at least Margin lies between
 // two holders.
 func TestLeaseNeverOverlaps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -110,7 +110,7 @@
 				holders[epoch] = k
 				lastHeld[k] = clk.at
 				for other := range nodes {
-					if other != k && lastHeld[other] > 0 && clk.at-lastHeld[other] < leaseMargin && clk.at != lastHeld[other] {
+					if other != k && lastHeld[other] > 0 && clk.at-lastHeld[other] < Margin && clk.at != lastHeld[other] {
 						t.Fatalf("node %d holds the lease only %v after node %d", k, clk.at-lastHeld[other], other)
 					}
 				}
--- a/orders/search_test.go
+++ b/lease/search_test.go
@@ -1,4 +1,4 @@
-package orders
+package lease
 
 import (
 	"errors"
@@ -51,8 +51,8 @@
 	{name: "b acquires", node: 1},
 	{name: "a acquires, answer lost", node: 0, lost: true},
 	{name: "b acquires, answer lost", node: 1, lost: true},
-	{name: "pause of the margin", node: -1, pause: leaseMargin},
-	{name: "pause shorter than a lease", node: -1, pause: testLease - leaseMargin/2},
+	{name: "pause of the margin", node: -1, pause: Margin},
+	{name: "pause shorter than a lease", node: -1, pause: testLease - Margin/2},
 	{name: "pause longer than a lease", node: -1, pause: testLease + testTakeoverDelay},
 }
 
@@ -117,7 +117,7 @@
 				}
 				err := nodes[s.node].Acquire(t.Context())
 				store.SetFaults(memory.Faults{})
-				if err == nil || !errors.Is(err, errLeaseHeld) {
+				if err == nil || !errors.Is(err, ErrHeld) {
 					break
 				}
 			}
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -1,8 +1,6 @@
 // Package orders brings the endpoints to the weight versions that trainers name.
 //
-// One node sends orders at a time. It holds a lease in the platform's store, timed
-// by a clock that includes suspension. The next holder waits until the lease has
-// expired and its previous holder, if it was suspended, has had time to detect this.
+// One node sends orders at a time, the holder of a lease, see package duty.
 // Each order states how many orders the endpoint had accepted before, so that an
 // endpoint rejects an order that arrives after a newer one.
 //
--- a/orders/sender.go
+++ b/orders/sender.go
@@ -2,28 +2,24 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/currantloft/currantloft/duty"
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/lease"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/routes"
-	"github.com/currantloft/currantloft/waits"
 )
 
 const (
-	// pollInterval is how often a node checks whether it is the leader and, if so,
-	// which orders are due.
-	pollInterval = 300 * time.Millisecond
 	// loadTimeout is how long a load may take before the endpoint's report is
 	// requested again: loading takes a second, longer while many endpoints load.
 	loadTimeout = 2500 * time.Millisecond
@@ -33,8 +29,6 @@
 	// retryDelay is the pause before the next order to an endpoint that was
 	// unreachable or busy, or did not accept an order.
 	retryDelay = 500 * time.Millisecond
-	// releaseTimeout limits giving up the lease, which otherwise expires.
-	releaseTimeout = 500 * time.Millisecond
 	// firstVersion is the version that endpoints start with.
 	firstVersion = 1
 )
@@ -45,7 +39,7 @@
 		Name      string
 		Store     object.Store
 		Fleet     *fleet.Fleet
-		Lease     *Lease
+		Lease     *lease.Lease
 		Endpoints EndpointClient
 		// Policy decides which endpoints load a version and when.
 		Policy Policy
@@ -64,6 +58,7 @@
 	// Sender sends orders to endpoints while this node is the leader.
 	Sender struct {
 		deps Deps
+		duty *duty.Duty
 
 		mu sync.Mutex
 		// named is the newest version that a trainer has named, by model.
@@ -73,63 +68,37 @@
 		retryAt map[string]time.Time
 		wake    chan struct{}
 		tasks   sync.WaitGroup
-
-		// sending is held for reading while an order may be sent.
-		sending sync.RWMutex
-		// sentAt is when the last order was sent, on the clock of the lease.
-		sentAt atomic.Int64
 	}
 )
 
 // New returns a Sender with the given dependencies.
 func New(deps Deps) *Sender {
 	return &Sender{
-		deps: deps, named: make(map[string]int), loading: make(Loading),
-		retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		deps: deps, duty: duty.New(duty.Deps{
+			Name: "orders", Holder: deps.Name, Lease: deps.Lease, Assigned: deps.IsLeader, Logger: deps.Logger,
+		}),
+		named: make(map[string]int), loading: make(Loading), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
-// Run sends orders until the context ends.
+// Run sends orders until the context ends, while this node is the leader.
 func (s *Sender) Run(ctx context.Context) error {
 	defer s.tasks.Wait()
-	for ctx.Err() == nil {
-		if !s.deps.IsLeader() {
-			_ = waits.For(ctx, pollInterval)
-			continue
-		}
-		s.sendUntilReplaced(ctx)
-	}
-	return nil
-}
-
-// sendUntilReplaced sends orders until this node is no longer the leader or the
-// context ends.
-func (s *Sender) sendUntilReplaced(ctx context.Context) {
-	event.OrderSenderStarted.Log(s.deps.Logger)
-	for ctx.Err() == nil && s.deps.IsLeader() {
-		s.sendDue(ctx)
-		timer := time.NewTimer(pollInterval)
-		select {
-		case <-ctx.Done():
-		case <-s.wake:
-		case <-s.deps.Fleet.Changed():
-		case <-timer.C:
+	return s.duty.Run(ctx, func(ctx context.Context) {
+		event.OrderSenderStarted.Log(s.deps.Logger)
+		defer event.OrderSenderStopped.Log(s.deps.Logger)
+		for ctx.Err() == nil && s.deps.IsLeader() {
+			s.sendDue(ctx)
+			timer := time.NewTimer(duty.PollInterval)
+			select {
+			case <-ctx.Done():
+			case <-s.wake:
+			case <-s.deps.Fleet.Changed():
+			case <-timer.C:
+			}
+			timer.Stop()
 		}
-		timer.Stop()
-	}
-	event.OrderSenderStopped.Log(s.deps.Logger)
-	s.release(ctx)
-}
-
-// release gives up the lease once no order can be sent any more.
-func (s *Sender) release(ctx context.Context) {
-	s.sending.Lock()
-	defer s.sending.Unlock()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	defer cancel()
-	if err := s.deps.Lease.Release(ctx, s.deps.Lease.Now()-time.Duration(s.sentAt.Load())); err != nil {
-		event.LeaseFailed.Log(s.deps.Logger, zap.Error(err))
-	}
+	})
 }
 
 // RecordNamedVersion records a version that a trainer has named.
@@ -163,19 +132,9 @@
 // due.
 func (s *Sender) sendDue(ctx context.Context) {
 	loads := s.dueLoads()
-	if len(loads) == 0 {
+	if len(loads) == 0 || !s.duty.Prepare(ctx) {
 		return
 	}
-	if s.deps.Lease.Remaining() < leaseMargin {
-		if err := s.deps.Lease.Acquire(ctx); err != nil {
-			if !errors.Is(err, errLeaseHeld) {
-				event.LeaseFailed.Log(s.deps.Logger, zap.Error(err))
-			}
-			return
-		}
-		epoch, _ := s.deps.Lease.Held()
-		event.LeaseTaken.Log(s.deps.Logger, zap.Uint64("epoch", epoch))
-	}
 	for _, load := range loads {
 		id := load.State.Entry.ID
 		s.mu.Lock()
@@ -265,24 +224,16 @@
 
 // send sends an order unless this node no longer holds the lease.
 func (s *Sender) send(ctx context.Context, load PlannedLoad, report Report) (outcome Outcome, epoch uint64, held bool) {
-	s.sending.RLock()
-	defer s.sending.RUnlock()
-	epoch, held = s.deps.Lease.Held()
-	if !held {
-		return nil, epoch, false
-	}
-	outcome = s.deps.Endpoints.SendOrder(ctx, load.State.Target(), Order{
-		Model: load.Desired.Model, Version: load.Desired.Version, Mode: Retain,
-		Holder: s.deps.Name, Epoch: epoch, Accepted: report.Accepted,
-		Permitted: func() bool {
-			now, held := s.deps.Lease.Held()
-			return held && now == epoch
-		},
+	held = s.duty.CallWith(ctx, func(ctx context.Context, permit duty.Permit) (sent bool) {
+		epoch = permit.Token()
+		outcome = s.deps.Endpoints.SendOrder(ctx, load.State.Target(), Order{
+			Model: load.Desired.Model, Version: load.Desired.Version, Mode: Retain,
+			Holder: permit.Holder(), Epoch: epoch, Accepted: report.Accepted, Permitted: permit.Current,
+		})
+		_, rejected := outcome.(Rejected)
+		return !rejected
 	})
-	if _, rejected := outcome.(Rejected); !rejected {
-		s.sentAt.Store(int64(s.deps.Lease.Now()))
-	}
-	return outcome, epoch, true
+	return outcome, epoch, held
 }
 
 // awaitVersion waits until the endpoint's entry or one of its answers reports
