feat(relay): requests are counted for their team, once each

A plain request counts when it is sent, and the count is taken back if no endpoint began to run it. Counting at the answer was weighed: a window's counts are final 300 ms after its end, so requests that take longer would count in a later window. A stream counts at its first event; one that the caller resumes counted when it began.

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -149,6 +149,7 @@
 			}
 			r.lastID, r.started, r.eventAt = max(r.lastID, id), true, time.Now()
 			r.active.pinStarted(r.target)
+			r.active.usage.firstEvent()
 			return eventBytes, nil
 		}
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -41,6 +41,8 @@
 		Sender   Sender
 		Suspects Suspects
 		Origins  Origins
+		// Usage counts requests by team, nil for none.
+		Usage Usage
 		// Domain is the node's failure domain.
 		Domain string
 		Scope  tally.Scope
@@ -53,6 +55,7 @@
 		sender   Sender
 		suspects Suspects
 		origins  Origins
+		usage    Usage
 		domain   string
 		logger   *zap.Logger
 		scope    tally.Scope
@@ -68,6 +71,7 @@
 		// first event.
 		software fleet.Software
 		attempts Attempts
+		usage    *usageCount
 		results  chan attemptResult
 		inFlight int
 		// sentTo lists the IDs of the endpoints that it was sent to, in order.
@@ -76,12 +80,13 @@
 		notified <-chan struct{}
 	}
 
-	// observedStream calls onEnd when a read returns an error or io.EOF, to detect
-	// crashed endpoints.
+	// observedStream calls onData when a read returns bytes, and onEnd when a read returns
+	// an error or io.EOF, to detect crashed endpoints.
 	observedStream struct {
 		io.ReadCloser
-		onEnd func(bytes int, err error)
-		bytes int
+		onData func()
+		onEnd  func(bytes int, err error)
+		bytes  int
 	}
 
 	// cancelOnClose cancels the request's attempts when the stream is closed.
@@ -113,11 +118,14 @@
 	return c.ReadCloser.Close()
 }
 
-// Read reads from the stream. It calls onEnd with the number of bytes read so
+// Read reads from the stream. It calls onData if there are bytes, and onEnd with the number of bytes read so
 // far and the error, including io.EOF.
 func (o *observedStream) Read(buffer []byte) (int, error) {
 	n, err := o.ReadCloser.Read(buffer)
 	o.bytes += n
+	if n > 0 {
+		o.onData()
+	}
 	if err != nil {
 		o.onEnd(o.bytes, err)
 	}
@@ -127,7 +135,7 @@
 // New returns a Relay with the given dependencies.
 func New(deps Deps) *Relay {
 	return &Relay{
-		fleet: deps.Fleet, sender: deps.Sender, suspects: deps.Suspects, origins: deps.Origins,
+		fleet: deps.Fleet, sender: deps.Sender, suspects: deps.Suspects, origins: deps.Origins, usage: deps.Usage,
 		domain: deps.Domain, logger: deps.Logger, scope: deps.Scope,
 	}
 }
@@ -146,7 +154,7 @@
 	request.Repeatable = route.Repeatable()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	active := &activeRequest{
-		Relay: r, request: request, route: route, service: route.Service(request.ID),
+		Relay: r, request: request, route: route, service: route.Service(request.ID), usage: newUsageCount(r.usage, request, route),
 		results: make(chan attemptResult, route.Attempts()+maxRefusals+1),
 		attempts: Attempts{
 			Repeatable: route.Repeatable(), MaxRuns: route.Attempts(), Deadline: deadline,
@@ -259,7 +267,14 @@
 // runAttempt sends the request, buffers a short answer and delivers the result.
 func (active *activeRequest) runAttempt(ctx context.Context, target fleet.Target, request Request, number int) {
 	crashes := active.suspects.Crashes(request)
+	sentAt := time.Now()
+	if active.route.Kind != routes.Streaming {
+		active.usage.sent(sentAt)
+	}
 	reply := active.sender.Send(ctx, target, request)
+	if _, notRun := reply.(NotRun); notRun {
+		active.usage.notRun(sentAt)
+	}
 	var body []byte
 	if answer, ok := reply.(Answer); ok {
 		body, reply = active.bufferShortAnswer(answer)
@@ -271,7 +286,7 @@
 		notified = active.reportDisconnect(ctx, target, request, crashes)
 	case Answer:
 		if answer.Body != nil {
-			answer.Body = &observedStream{ReadCloser: answer.Body, onEnd: func(bytes int, err error) {
+			answer.Body = &observedStream{ReadCloser: answer.Body, onData: active.onStreamData(answer), onEnd: func(bytes int, err error) {
 				if errors.Is(err, io.EOF) {
 					active.clearCrashes(request)
 				} else if bytes == 0 {
@@ -288,6 +303,15 @@
 	active.results <- attemptResult{number: number, target: target, reply: reply, body: body, notified: notified}
 }
 
+// onStreamData returns what is called when an answer that is forwarded while it is read has
+// brought bytes. The events of a stream that can be resumed are counted where they are read.
+func (active *activeRequest) onStreamData(answer Answer) func() {
+	if active.route.Kind != routes.Streaming || active.route.Resumable && answer.Streamed {
+		return func() {}
+	}
+	return active.usage.firstEvent
+}
+
 // reportDisconnect reports a lost attempt, or a stream that ended before its
 // first byte, as a possible crash, unless the request itself was cancelled.
 func (active *activeRequest) reportDisconnect(ctx context.Context, target fleet.Target, request Request, crashes int) <-chan struct{} {
