feat(usage): the requests of teams are reported to the platform

Hosts count in windows and send their counts to the first host by rank, which decides each window, stores the decided counts, and reports them while it holds the lease. The second and third host take over if a window is not reported. It runs only if the settings ask for usage reports.

A host whose reports are not answered lets another one try, since it may be cut off from the API only.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -14,6 +14,7 @@
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/orders"
 	"github.com/currantloft/currantloft/quota"
+	"github.com/currantloft/currantloft/usage"
 )
 
 type (
@@ -38,6 +39,8 @@
 		Batches []batch.JobState `json:"batches"`
 		// Orders is the state of the orders to load weight versions.
 		Orders orders.State `json:"orders"`
+		// Usage is the state of the usage reports, absent if there are none.
+		Usage *usage.State `json:"usage,omitempty"`
 		// Store counts the node's calls to the platform's store.
 		Store StoreState `json:"store"`
 		// Quarantined counts the requests in quarantine for crashing endpoints.
@@ -128,7 +131,7 @@
 		Hub: e.roster.IsHub(), Children: children,
 		Status: e.status(), Leaving: e.leaving.Load(), LeaderRank: rank, Endpoints: e.fleet.All(),
 		Limits:  e.fleet.Limits().Dump(),
-		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(),
+		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(), Usage: e.dumpUsage(),
 		Store:       StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
 		Quarantined: len(e.suspects.ledger.ListQuarantined()), Dials: e.sender.Dials(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,6 +40,7 @@
 	"github.com/currantloft/currantloft/roster"
 	"github.com/currantloft/currantloft/routes"
 	"github.com/currantloft/currantloft/setup"
+	"github.com/currantloft/currantloft/usage"
 	"github.com/currantloft/currantloft/waits"
 )
 
@@ -92,12 +93,14 @@
 		relay       *relay.Relay
 		keeper      *batch.Keeper
 		orderSender *orders.Sender
-		table       atomic.Pointer[routes.Table]
-		peers       *peerClient
-		suspects    *suspects
-		limits      *limits
-		origins     *origins
-		mirror      *mirror.Mirror
+		// usage is nil if no usage is to be reported.
+		usage    *usage.Reporter
+		table    atomic.Pointer[routes.Table]
+		peers    *peerClient
+		suspects *suspects
+		limits   *limits
+		origins  *origins
+		mirror   *mirror.Mirror
 		// restoreUntil is the time until which entries that were removed while the
 		// store was unavailable may be registered again. The mirror's lock guards it.
 		restoreUntil time.Time
@@ -135,10 +138,15 @@
 	e.suspects = newSuspects(e.peers, e.detour, logger)
 	e.roster.SetQuarantine(e.suspects)
 	e.roster.SetLimits(e.limits)
-	e.relay = relay.New(relay.Deps{
+	relayDeps := relay.Deps{
 		Fleet: e.fleet, Sender: e.detour, Suspects: e.suspects, Origins: e.origins,
 		Domain: settings.Domain(), Scope: e.meter.Scope(), Logger: logger,
-	})
+	}
+	ledger, reporter := e.newUsage(settings, self)
+	if reporter != nil {
+		relayDeps.Usage, e.usage = ledger, reporter
+	}
+	e.relay = relay.New(relayDeps)
 	e.keeper = batch.New(batch.Deps{
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
 		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour}, Peers: e.peers, IsLeader: e.isLeader,
@@ -187,7 +195,7 @@
 	serviceCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(serviceCtx)
-	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run, e.detour.Run} {
+	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run, e.detour.Run, e.runUsage} {
 		group.Go(func() error { return run(groupCtx) })
 	}
 	select {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -295,6 +295,8 @@
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
 	case *wirepb.Frame_OriginCall:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_OriginReply{OriginReply: e.origins.serve(body.OriginCall)}}
+	case *wirepb.Frame_UsageCall:
+		reply = &wirepb.Frame{Body: &wirepb.Frame_UsageReply{UsageReply: e.serveUsage(body.UsageCall)}}
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Apply(decodeNotification(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
--- a/event/event.go
+++ b/event/event.go
@@ -143,6 +143,13 @@
 	OrderSenderStopped = define(883, "orders_left", zapcore.InfoLevel)
 	LeaseTaken         = define(884, "lease_taken", zapcore.InfoLevel)
 	LeaseFailed        = define(885, "lease_failed", zapcore.WarnLevel)
+
+	UsageWindowDecided   = define(920, "usage_window_decided", zapcore.InfoLevel)
+	UsageReported        = define(921, "usage_reported", zapcore.InfoLevel)
+	UsageReportFailed    = define(922, "usage_report_failed", zapcore.WarnLevel)
+	UsageReportAbandoned = define(923, "usage_report_abandoned", zapcore.ErrorLevel)
+	UsageWindowFailed    = define(924, "usage_window_failed", zapcore.WarnLevel)
+	UsageNotSent         = define(925, "usage_not_sent", zapcore.InfoLevel)
 )
 
 var allEvents []Event
