--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -65,6 +65,8 @@
 		client  *http.Client
 		// binary runs the hosts.
 		binary string
+		// settings are further lines of their settings.
+		settings string
 	}
 
 	// resultPage is a page of a batch's results.
@@ -97,10 +99,16 @@
 
 // newSiteOf is newSiteWith with the program that runs the hosts.
 func newSiteOf(t testing.TB, binary string, hosts int, limit time.Duration, engines ...fake.EngineOptions) *site {
+	t.Helper()
+	return newSiteOfSettings(t, binary, "", hosts, limit, engines...)
+}
+
+// newSiteOfSettings is newSiteOf with further lines of the hosts' settings.
+func newSiteOfSettings(t testing.TB, binary, settings string, hosts int, limit time.Duration, engines ...fake.EngineOptions) *site {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	t.Cleanup(cancel)
-	s := &site{t: t, ctx: ctx, store: fake.StartStore(), subnet: newSubnet(), binary: binary, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &site{t: t, ctx: ctx, store: fake.StartStore(), subnet: newSubnet(), binary: binary, settings: settings, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(s.store.Close)
 	for i, options := range engines {
 		s.engines = append(s.engines, s.startEndpoint(fake.EngineOptions{
@@ -235,7 +243,7 @@
 bounds.grace_s=8
 bounds.lease_ms=1000
 bounds.thaw_ms=100
-`, name, ip, i%2, h.callerAddress, h.readyAddress, h.resolverAddress, peerPort, s.store.Address(), quota)
+%s`, name, ip, i%2, h.callerAddress, h.readyAddress, h.resolverAddress, peerPort, s.store.Address(), quota, s.settings)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/usage/faults_test.go
+++ b/usage/faults_test.go
@@ -44,7 +44,10 @@
 					}
 					c.mu.Unlock()
 					time.Sleep(40 * time.Second)
-					if !failed {
+					c.mu.Lock()
+					reached := failed
+					c.mu.Unlock()
+					if !reached {
 						t.Fatal("the step was not reached")
 					}
 					c.checkReported(c.start, time.Now().Add(-reportBound), reportBound, uint64(fault.lost/beganInterval))
