--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	"github.com/currantloft/currantloft/detour"
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/lease"
 	"github.com/currantloft/currantloft/meter"
 	"github.com/currantloft/currantloft/mirror"
 	"github.com/currantloft/currantloft/orders"
@@ -40,6 +41,7 @@
 	"github.com/currantloft/currantloft/roster"
 	"github.com/currantloft/currantloft/routes"
 	"github.com/currantloft/currantloft/setup"
+	"github.com/currantloft/currantloft/usage"
 	"github.com/currantloft/currantloft/waits"
 )
 
@@ -71,6 +73,8 @@
 	idleTimeout = 90 * time.Second
 	// headerTimeout limits how long a caller may take to send its headers.
 	headerTimeout = 5 * time.Second
+	// leaseOrders is the name of the lease of the order sender.
+	leaseOrders = "orders"
 )
 
 type (
@@ -90,12 +94,14 @@
 		relay       *relay.Relay
 		keeper      *batch.Keeper
 		orderSender *orders.Sender
-		table       atomic.Pointer[routes.Table]
-		peers       *peerClient
-		suspects    *suspects
-		limits      *limits
-		origins     *origins
-		mirror      *mirror.Mirror
+		// usage is nil if no usage is to be reported.
+		usage    *usage.Reporter
+		table    atomic.Pointer[routes.Table]
+		peers    *peerClient
+		suspects *suspects
+		limits   *limits
+		origins  *origins
+		mirror   *mirror.Mirror
 		// restoreUntil is the time until which entries that were removed while the
 		// store was unavailable may be registered again. The mirror's lock guards it.
 		restoreUntil time.Time
@@ -133,10 +139,15 @@
 	e.suspects = newSuspects(e.peers, e.detour, logger)
 	e.roster.SetQuarantine(e.suspects)
 	e.roster.SetLimits(e.limits)
-	e.relay = relay.New(relay.Deps{
+	relayDeps := relay.Deps{
 		Fleet: e.fleet, Sender: e.detour, Suspects: e.suspects, Origins: e.origins,
 		Domain: settings.Domain(), Scope: e.meter.Scope(), Logger: logger,
-	})
+	}
+	ledger, reporter := e.newUsage(settings, self)
+	if reporter != nil {
+		relayDeps.Usage, e.usage = ledger, reporter
+	}
+	e.relay = relay.New(relayDeps)
 	e.keeper = batch.New(batch.Deps{
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
 		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour, Routes: e.table.Load}, Peers: e.peers, IsLeader: e.isLeader,
@@ -145,7 +156,7 @@
 	})
 	e.orderSender = orders.New(orders.Deps{
 		Name: self.Name, Store: e.store, Fleet: e.fleet, Policy: options.Policy.versions,
-		Lease:     orders.NewLease(e.store, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
+		Lease:     lease.New(e.store, leaseOrders, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
 		Endpoints: e.detour, Routes: e.table.Load, IsLeader: e.peers.SendsOrders,
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
@@ -185,7 +196,7 @@
 	serviceCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(serviceCtx)
-	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run, e.detour.Run} {
+	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run, e.detour.Run, e.runUsage} {
 		group.Go(func() error { return run(groupCtx) })
 	}
 	select {
