test(mirror): keys are decided by the age of the configuration's own copy

A host whose copy is old could finally refuse a key that a newer version holds, or serve a removed one longer than its settings allow.

Bound on the claim: an update counts as of its arrival. The time that it was on its way, at most the second after which a call of a peer ends, is not in the age.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -112,6 +112,8 @@
 		bound     time.Duration
 		listCount int
 		logger    *zap.Logger
+		// clock returns the time since boot.
+		clock func() time.Duration
 
 		mu        sync.Mutex
 		kinds     map[string]*kindCopy
@@ -187,7 +189,7 @@
 func New(store object.Store, fleet Fleet, bound time.Duration, logger *zap.Logger, kinds ...Kind) *Mirror {
 	m := &Mirror{
 		store: store, fleet: fleet, bound: bound, logger: logger, kinds: make(map[string]*kindCopy), received: make(chan struct{}, 1),
-		gapped: make(chan struct{}, 1),
+		gapped: make(chan struct{}, 1), clock: waits.Boottime,
 	}
 	for _, kind := range kinds {
 		m.kinds[kind.Name] = &kindCopy{kind: kind, revisions: make(map[string]uint64), removals: make(map[string]uint64)}
@@ -295,7 +297,7 @@
 		if !due {
 			continue
 		}
-		listedAt := waits.Boottime()
+		listedAt := m.clock()
 		first = first || freshness == object.Stale
 		entries, revision, err := m.store.List(ctx, kind, freshness)
 		if err != nil {
@@ -426,8 +428,9 @@
 	c.confirmedAt = max(c.confirmedAt, at)
 }
 
-// Age returns how long ago the copy of a kind was last known to be up to date. It counts
-// time in which the system was suspended.
+// Age returns how long ago the copy of a kind was last known to be up to date: when the
+// last fresh list was sent, or an update from a list arrived with nothing missing. It
+// counts time in which the system was suspended, but not how long an update was on its way.
 func (m *Mirror) Age(kind string) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -435,7 +438,7 @@
 	if c == nil || c.confirmedAt == 0 {
 		return math.MaxInt64
 	}
-	return max(0, waits.Boottime()-c.confirmedAt)
+	return max(0, m.clock()-c.confirmedAt)
 }
 
 // unknown returns the changes that may be missing in the copy. An object that changed
@@ -488,7 +491,7 @@
 			// A watch may be late, and an update may be overtaken: only the newest list
 			// tells that nothing has changed.
 			if !incomplete && c.listed && update.Names != 0 && update.Revision >= known {
-				c.confirmedAt = waits.Boottime()
+				c.confirmedAt = m.clock()
 			}
 			missing = incomplete && c.listed || missing
 			kinds[update.Kind] = true
