feat(edge): logs, metrics, why and the dump name teams and why a key was refused

An operator could not tell why a caller was refused. Lines on accepted and taken over batches and on requests that were not answered name the team, none without teams.

A host that fails closed is ready only once its configuration was confirmed: the first list may be stale, so its callers would get 503 for about a second after its start.

TestEdgeTeams runs four hosts: teams at the endpoints, a keeper killed after the acceptance, calls for the batch at the other hosts, a key removed, and no key at an endpoint, in a log, a dump or the metrics.

--- a/access/access.go
+++ b/access/access.go
@@ -79,7 +79,11 @@
 	}
 
 	// Denied means that the request must not be served.
-	Denied struct{ Cause Cause }
+	Denied struct {
+		Cause Cause
+		// Team is the team of the key if the batch belongs to another one.
+		Team string
+	}
 
 	// Unsure means that this host can't decide now.
 	Unsure struct {
@@ -136,7 +140,7 @@
 	}
 	decision := Decide(table, routes.Route{}, authorization, confirmedAge, policy)
 	if allowed, ok := decision.(Allowed); ok && table.HasTeams() && allowed.Team != owner {
-		return Denied{Cause: OtherTeam}
+		return Denied{Cause: OtherTeam, Team: allowed.Team}
 	}
 	return decision
 }
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -93,7 +93,7 @@
 	} else {
 		event.BatchAccepted.Log(k.deps.Logger, zap.String("batch", s.ID), zap.Int("items", len(s.Items)),
 			zap.String("model", s.Model), zap.Int("step", s.Step), zap.Int("min_version", s.MinVersion),
-			zap.String("keeper", head.Keeper), zap.Duration("took", time.Since(start)))
+			zap.String("keeper", head.Keeper), zap.Duration("took", time.Since(start)), event.Team(head.Team))
 	}
 	k.mu.Lock()
 	k.applyLocked(Notification{Head: head})
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -156,7 +156,7 @@
 	default:
 		event.BatchTakenOver.Log(k.deps.Logger, zap.String("batch", h.head.ID),
 			zap.String("from", h.head.Keeper), zap.Int("listed", j.results.Durable()),
-			zap.Int("total", j.results.Total()), zap.Duration("took", time.Since(start)))
+			zap.Int("total", j.results.Total()), zap.Duration("took", time.Since(start)), event.Team(h.head.Team))
 		k.deps.Scope.Counter("takeovers").Inc(1)
 		j.uncertainUntil = time.Now().Add(defaultLifetime)
 		j.previous = h.head
--- a/edge/admin.go
+++ b/edge/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net"
 	"net/http"
 	"runtime"
@@ -21,6 +22,10 @@
 	State struct {
 		// Status is the node's summary for operators.
 		Status entry.Status `json:"status"`
+		// ConfigAgeMs is how long ago the configuration was last confirmed to be the newest
+		// one, in milliseconds, -1 if it never was. Teams tells whether it has teams.
+		ConfigAgeMs int64 `json:"config_age_ms"`
+		Teams       bool  `json:"teams"`
 		// Leaving is true once a graceful shutdown has begun.
 		Leaving bool `json:"leaving"`
 		// LeaderRank is the node's position among the nodes that may be the leader, 0
@@ -123,7 +128,13 @@
 	for path, host := range e.book.BrokenPaths() {
 		brokenPaths[path.Address] = host
 	}
+	configAge := int64(-1)
+	if age := e.ConfigAge(); age < math.MaxInt64 {
+		configAge = age.Milliseconds()
+	}
+	table := e.table.Load()
 	return State{
+		ConfigAgeMs: configAge, Teams: table != nil && table.HasTeams(),
 		BrokenPaths: brokenPaths, Isolated: e.book.Isolated(), Detours: e.detours.Open(),
 		Hub: e.roster.IsHub(), Children: children,
 		Status: e.status(), Leaving: e.leaving.Load(), LeaderRank: rank, Endpoints: e.fleet.All(),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -15,6 +15,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -291,9 +292,12 @@
 }
 
 // Ready reports whether the node accepts requests: it has a configuration and knows
-// the endpoints.
+// the endpoints. If it refuses keys by an old configuration, its configuration must have
+// been confirmed once, since the first list may be stale.
 func (e *Edge) Ready() bool {
-	return !e.leaving.Load() && e.table.Load() != nil && e.mirror.Listed(platform.KindEndpoints)
+	table := e.table.Load()
+	return !e.leaving.Load() && table != nil && e.mirror.Listed(platform.KindEndpoints) &&
+		(!table.HasTeams() || !e.settings.Load().RevokeFailClosed() || e.ConfigAge() < math.MaxInt64)
 }
 
 // Leaving reports whether the node is shutting down, so that callers should close
--- a/event/event.go
+++ b/event/event.go
@@ -146,6 +146,14 @@
 	LeaseFailed        = define(885, "lease_failed", zapcore.WarnLevel)
 )
 
+// Team returns the log field that names a team, none for an empty one.
+func Team(team string) zap.Field {
+	if team == "" {
+		return zap.Skip()
+	}
+	return zap.String("team", team)
+}
+
 var allEvents []Event
 
 func define(number int, name string, level zapcore.Level) Event {
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -371,7 +371,7 @@
 	}
 	event.RequestNotAnswered.Log(r.logger, zap.String("request", request.ID), zap.String("route", route.Name),
 		zap.String("service", active.service), zap.String("outcome", label), zap.Int("sent", active.attempts.Sent),
-		zap.Strings("endpoints", active.sentTo), zap.Duration("timeout", route.Timeout), zap.Duration("took", took), zap.Error(cause))
+		zap.Strings("endpoints", active.sentTo), zap.Duration("timeout", route.Timeout), zap.Duration("took", took), event.Team(request.Team), zap.Error(cause))
 }
 
 func fleetResult(ctx context.Context, reply Reply) fleet.Result {
