--- a/edge/encode_test.go
+++ b/edge/encode_test.go
@@ -37,6 +37,15 @@
 		}, Ended: true, HandedOver: true, TakenOver: true}
 		check.Equal(t, "notification", decodeNotification(roundTrip(t, encodeNotification(want), &wirepb.BatchNotice{})), want)
 	})
+	t.Run("a batch notification of the release before teams", func(t *testing.T) {
+		got := decodeNotification(roundTrip(t, &wirepb.BatchNotice{Id: "i"}, &wirepb.BatchNotice{}))
+		check.Equal(t, "notification", got, batch.Notification{Head: batch.Head{ID: "i", TeamUnknown: true}})
+		check.Equal(t, "passed on", decodeNotification(roundTrip(t, encodeNotification(got), &wirepb.BatchNotice{})), got)
+	})
+	t.Run("a batch notification without a team", func(t *testing.T) {
+		want := batch.Notification{Head: batch.Head{ID: "i"}}
+		check.Equal(t, "notification", decodeNotification(roundTrip(t, encodeNotification(want), &wirepb.BatchNotice{})), want)
+	})
 	t.Run("a page", func(t *testing.T) {
 		want := batch.Page{Total: 9, Next: 3, Results: []batch.Result{
 			{Item: "a", Text: "x\xffy", Versions: []int{1, 2}}, {Item: "b", Failed: true},
