--- a/event/event.go
+++ b/event/event.go
@@ -156,6 +156,14 @@
 	UsageNotSent         = define(925, "usage_not_sent", zapcore.InfoLevel)
 )
 
+// Team returns the log field that names a team, none for an empty one.
+func Team(team string) zap.Field {
+	if team == "" {
+		return zap.Skip()
+	}
+	return zap.String("team", team)
+}
+
 var allEvents []Event
 
 func define(number int, name string, level zapcore.Level) Event {
