--- a/batch/confirm.go
+++ b/batch/confirm.go
@@ -20,7 +20,7 @@
 	maxAskedHubs = 2
 )
 
-// openState is what a check found out about a batch.
+// openState is what a check found out about a batch. The more certain state is greater.
 type openState int
 
 const (
@@ -83,27 +83,49 @@
 		return stateEnded, askedAt
 	case errors.Is(err, object.ErrNotFound):
 		return stateOpen, askedAt
+	case k.deps.Clock()-askedAt > 2*endReadTimeout:
+		// The process was suspended, which says nothing of the store. Its peers may have
+		// sent it no messages meanwhile, so that only the store knows for certain.
+		return stateUnknown, askedAt
 	}
+	return k.askHubs(ctx, id)
+}
+
+// askHubs asks hubs at the same time what they know of a batch. One that knows of its end
+// counts more than one that does not.
+func (k *Keeper) askHubs(ctx context.Context, id string) (state openState, askedAt time.Duration) {
 	var hubs []string
 	for _, name := range k.deps.Peers.Keepers() {
 		if name != k.deps.Name {
 			hubs = append(hubs, name)
 		}
 	}
-	for _, name := range rendez.Top(id, hubs, maxAskedHubs) {
-		askedAt = k.deps.Clock()
-		callCtx, cancel := context.WithTimeout(ctx, findTimeout)
-		found, err := k.deps.Peers.FindAt(callCtx, name, id)
-		cancel()
-		switch {
-		case err != nil:
-			k.logPeerError(id, name, err)
-		case found.Head.ID == "":
-		case found.Ended:
-			return stateEnded, askedAt
-		default:
-			return stateOpen, askedAt
-		}
+	askedAt = k.deps.Clock()
+	hubs = rendez.Top(id, hubs, maxAskedHubs)
+	answers := make(chan openState, len(hubs))
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	for _, name := range hubs {
+		k.tasks.Go(func() { answers <- k.askHub(ctx, name, id) })
+	}
+	state = stateUnknown
+	for range hubs {
+		state = max(state, <-answers)
+	}
+	return state, askedAt
+}
+
+func (k *Keeper) askHub(ctx context.Context, name, id string) openState {
+	found, err := k.deps.Peers.FindAt(ctx, name, id)
+	switch {
+	case err != nil:
+		k.logPeerError(id, name, err)
+		return stateUnknown
+	case found.Head.ID == "":
+		return stateUnknown
+	case found.Ended:
+		return stateEnded
+	default:
+		return stateOpen
 	}
-	return stateUnknown, askedAt
 }
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -193,6 +193,12 @@
 
 // startKeeper starts the keeper of a node with the given view of its peers.
 func startKeeper(t *testing.T, p clusterPeers, store object.Store, engine Engine) *Keeper {
+	t.Helper()
+	return startKeeperWith(t, p.name, p, store, engine, nil)
+}
+
+// startKeeperWith starts the keeper of a node with the given view of its peers and clock.
+func startKeeperWith(t *testing.T, name string, p Peers, store object.Store, engine Engine, clock func() time.Duration) *Keeper {
 	t.Helper()
 	f := fleet.New(time.Now)
 	for i := range 4 {
@@ -207,10 +213,10 @@
 		MaxAttempts: 2, TargetLatency: 200 * time.Millisecond, Timeout: testLimit,
 	}}, nil, nil, routes.Limits{})
 	k := New(Deps{
-		Name: p.name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
+		Name: name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
 		Policy: LongestFirst{},
 		Peers:  p, IsLeader: func() bool { return true }, Retention: time.Minute, Routes: func() *routes.Table { return table }, Decode: decodeTest,
-		Scope: tally.NoopScope, Logger: zap.NewNop(),
+		Clock: clock, Scope: tally.NoopScope, Logger: zap.NewNop(),
 	})
 	t.Cleanup(k.Close)
 	return k
--- a/detour/sender_test.go
+++ b/detour/sender_test.go
@@ -95,3 +95,16 @@
 		})
 	}
 }
+
+// TestRequestWithoutPermissionTriesNoOtherPath checks that a request that was not permitted
+// at the write is not sent over another path, and that the one it had counts as working.
+func TestRequestWithoutPermissionTriesNoOtherPath(t *testing.T) {
+	s, book := newScriptedSender(map[string]func(context.Context) relay.Reply{"": func(ctx context.Context) relay.Reply {
+		connect(ctx)
+		return relay.NotRun{Cause: relay.ErrNotPermitted}
+	}, "b": answered})
+	reply := s.Send(t.Context(), fleet.NewTarget("e", "a", "d"), relay.Request{ID: "r", Repeatable: true})
+	notRun, ok := reply.(relay.NotRun)
+	check.Equal(t, "the request has not run", ok && errors.Is(notRun.Cause, relay.ErrNotPermitted), true)
+	check.Equal(t, "the path has failed", book.JustFailed(reach.Direct("a")), false)
+}
