--- a/usage/gather.go
+++ b/usage/gather.go
@@ -115,10 +115,14 @@
 func (g *gathered) ofGone(active []Host) []Call {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	alive := make(map[Host]bool, len(active))
+	for _, host := range active {
+		alive[host] = true
+	}
 	byHost := make(map[Host][]Window)
 	for _, hosts := range g.windows {
 		for host, w := range hosts {
-			if !slices.Contains(active, host) {
+			if !alive[host] {
 				byHost[host] = append(byHost[host], w)
 			}
 		}
