fix(usage): a window is not reported once its object may be removed

A reporting host that was suspended for longer than the objects of windows are kept could decide a window again and report it with other counts. Windows are now given up 110 s after their end, 10 s before their objects are removed; the age is judged with the lease, right before the call is written.

--- a/usage/cluster_test.go
+++ b/usage/cluster_test.go
@@ -146,6 +146,11 @@
 	for _, violation := range c.rules.Violations() {
 		c.t.Error(violation)
 	}
+	for _, call := range c.rules.Calls() {
+		if age := call.At.Sub(windowEnd(call.Window, testLength)); age >= retention {
+			c.t.Errorf("window %d is reported %v after its end, when its counts may be removed from the store", call.Window, age)
+		}
+	}
 }
 
 // kill ends a process without its last messages.
--- a/usage/faults_test.go
+++ b/usage/faults_test.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -184,3 +185,43 @@
 		}
 	})
 }
+
+// TestReporterSuspendedForLong suspends the reporting host, of five and alone, until the
+// decided counts are removed from the store. It guards against reports of windows that
+// another host could have reported with other counts.
+func TestReporterSuspendedForLong(t *testing.T) {
+	for name, at := range steps {
+		for _, hosts := range []int{1, 5} {
+			if hosts == 1 && at == stepGather {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s/%d hosts", name, hosts), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { suspendForLong(t, hosts, at) })
+			})
+		}
+	}
+}
+
+func suspendForLong(t *testing.T, hosts int, at step) {
+	c := newCluster(t, hosts)
+	defer c.close()
+	time.Sleep(21 * time.Second)
+	c.mu.Lock()
+	c.onStep = func(h *testHost, s step) {
+		c.mu.Lock()
+		suspended := s == at && (h.Name == "edge-0" || at == stepGather)
+		if suspended {
+			c.onStep = func(*testHost, step) {}
+		}
+		target := c.hosts["edge-0"]
+		c.mu.Unlock()
+		if suspended {
+			target.suspend(retention + 10*time.Second)
+		}
+	}
+	c.mu.Unlock()
+	time.Sleep(retention + 30*time.Second)
+	if hosts > 1 {
+		c.checkReported(c.start, time.Now().Add(-reportBound), reportBound, uint64(1300*time.Millisecond/beganInterval))
+	}
+}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -48,6 +48,9 @@
 	// retention is how long decided counts stay in the store. It is longer than
 	// reportLimit, so that a host that takes over finds them.
 	retention = 2 * time.Minute
+	// reportableFor is how long after a window's end its counts may be decided and reported.
+	// Later its object may be gone, and another host could have decided other counts.
+	reportableFor = retention - 10*time.Second
 	// recentlyActive is how long a host counts as known after it was last active, as long as
 	// at least half of the known ones are active.
 	recentlyActive = 30 * time.Second
@@ -214,7 +217,7 @@
 			continue
 		}
 		r.stored[id] = true
-		if recent := now.Sub(windowEnd(id, r.deps.Length)) < retention; recent && (oldest == 0 || id < oldest) {
+		if recent := now.Sub(windowEnd(id, r.deps.Length)) < reportableFor; recent && (oldest == 0 || id < oldest) {
 			oldest = id
 		}
 	}
@@ -271,6 +274,9 @@
 	r.advance(first - 1)
 	storeFails := false
 	for _, w := range r.gathered.due(v) {
+		if r.abandonOld(w.id) {
+			continue
+		}
 		next := r.pending(w.id)
 		if next == nil && !storeFails {
 			var err error
@@ -279,7 +285,8 @@
 				storeFails = errors.Is(err, object.ErrOutcomeUnknown) || errors.Is(err, object.ErrRefused)
 			}
 		}
-		if next == nil || r.deps.Clock.Now().Before(next.retryAt) {
+		// This host may have been suspended while it decided.
+		if next == nil || r.abandonOld(w.id) || r.deps.Clock.Now().Before(next.retryAt) {
 			continue
 		}
 		if !r.duty.Prepare(ctx) || !r.send(ctx, w.id, next) {
@@ -291,6 +298,18 @@
 	}
 }
 
+// abandonOld gives a window up that can't be reported any more.
+func (r *Reporter) abandonOld(id int64) bool {
+	now := r.deps.Clock.Now()
+	age := now.Sub(windowEnd(id, r.deps.Length))
+	if age < reportableFor {
+		return false
+	}
+	event.UsageReportAbandoned.Log(r.deps.Logger, zap.Int64("window", id), zap.Duration("after_end", age))
+	r.settle(id, now, false)
+	return true
+}
+
 // pending returns the report of a window that this host has decided or read, nil for none.
 func (r *Reporter) pending(id int64) *report {
 	r.mu.Lock()
@@ -351,7 +370,10 @@
 	var token uint64
 	outcome, held := r.duty.Call(callCtx, func(ctx context.Context, permit duty.Permit) duty.Outcome {
 		token = permit.Token()
-		return r.deps.API.ReportUsage(ctx, permit, id, next.counts)
+		current := func() bool {
+			return permit.Current() && r.deps.Clock.Now().Sub(windowEnd(id, r.deps.Length)) < reportableFor
+		}
+		return r.deps.API.ReportUsage(ctx, duty.NewPermit(permit.Holder(), token, current), id, next.counts)
 	})
 	if !held {
 		return false
