feat(scale): how many endpoints a service needs in each failure domain

Nothing uses it yet.

Weighed: the tokens submitted in 20 s against what the endpoints generate in that time. Left out, since it is the mean, while a batch comes at once. Weighed as well: the share of slots in use. Left out, since it is the same for a batch that is due in 7 s and for one that is due in a minute. Neither was tried.

--- a/routes/routes.go
+++ b/routes/routes.go
@@ -85,6 +85,21 @@
 		Stride int
 		// Models are the models that an engine serves.
 		Models []string
+		// Scaling bounds the number of endpoints in each failure domain.
+		Scaling Scaling
+	}
+
+	// Scaling says how the number of a service's endpoints may be changed. The zero value
+	// permits no change.
+	Scaling struct {
+		// MinReplicas and MaxReplicas bound the endpoints in each failure domain.
+		MinReplicas, MaxReplicas int
+		// Boot is the time from an order until a new endpoint serves.
+		Boot time.Duration
+		// SpotPrice is the price of an endpoint that may be reclaimed, relative to others.
+		SpotPrice float64
+		// DomainPrices is the price of an endpoint by failure domain.
+		DomainPrices map[string]float64
 	}
 
 	// Limits are the size limits of a caller's request.
@@ -162,6 +177,18 @@
 	return Route{}, false
 }
 
+// Scaled returns the services whose number of endpoints may be changed, by name.
+func (t *Table) Scaled() []Service {
+	var scaled []Service
+	for _, s := range t.services {
+		if s.Scaling.MaxReplicas > 0 {
+			scaled = append(scaled, s)
+		}
+	}
+	sort.Slice(scaled, func(i, j int) bool { return scaled[i].Name < scaled[j].Name })
+	return scaled
+}
+
 // Service returns a service by its name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
