feat(edge): endpoints are ordered by the demand of all hosts

Callers of large batches saw late steps, since nobody ordered endpoints where the platform offers that. Hosts now send their demand to one of them, which decides and orders under the lease `leases/scaling`. Without `scaling` in `cloud.duties` and in the configuration nothing is sent and nothing changes.

The host that decides is the first hub by rank that takes demand. One whose orders have all failed for 3 s refuses it, so that the next one decides.

Weighed: the message of usage reports for the demand. Left out, since they are sent once a second and only where usage is reported, and a new batch should be known sooner. Weighed as well: two hosts that both hold the demand. Left out, since a new holder waits for endpoints that may be starting anyway.

--- a/edge/admin.go
+++ b/edge/admin.go
@@ -38,6 +38,8 @@
 		Batches []batch.JobState `json:"batches"`
 		// Orders is the state of the orders to load weight versions.
 		Orders orders.State `json:"orders"`
+		// Scaling is the state of the orders of endpoints, nil if none are ordered.
+		Scaling *ScalingState `json:"scaling,omitempty"`
 		// Store counts the node's calls to the platform's store.
 		Store StoreState `json:"store"`
 		// Quarantined counts the requests in quarantine for crashing endpoints.
@@ -128,7 +130,7 @@
 		Hub: e.roster.IsHub(), Children: children,
 		Status: e.status(), Leaving: e.leaving.Load(), LeaderRank: rank, Endpoints: e.fleet.All(),
 		Limits:  e.fleet.Limits().Dump(),
-		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(),
+		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(), Scaling: e.scaling.dump(),
 		Store:       StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
 		Quarantined: len(e.suspects.ledger.ListQuarantined()), Dials: e.sender.Dials(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -98,6 +98,8 @@
 		limits      *limits
 		origins     *origins
 		mirror      *mirror.Mirror
+		// scaling is nil if no endpoints are ordered.
+		scaling *scaling
 		// restoreUntil is the time until which entries that were removed while the
 		// store was unavailable may be registered again. The mirror's lock guards it.
 		restoreUntil time.Time
@@ -152,6 +154,14 @@
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.mirror = mirror.New(e.store, e.peers, settings.ConfigApplyLimit(), logger, e.mirroredKinds()...)
+	if settings.OrdersEndpoints() {
+		e.scaling = newScaling(scalingDeps{
+			Name: self.Name, Incarnation: self.Incarnation, Peers: e.peers, Fleet: e.fleet, Backlog: e.keeper.Backlog,
+			Lease:  lease.New(e.store, scalingLease, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
+			Routes: e.table.Load, Listed: func() bool { return e.mirror.Listed(platform.KindEndpoints) },
+			Order: platform.NewDuties(settings.DutyAddress()).OrderEndpoints, Scope: e.meter.Scope(), Logger: logger,
+		})
+	}
 	return e
 }
 
@@ -187,7 +197,11 @@
 	serviceCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, groupCtx := errgroup.WithContext(serviceCtx)
-	for _, run := range []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run, e.detour.Run} {
+	tasks := []func(context.Context) error{e.roster.Run, e.orderSender.Run, e.mirror.Run, e.limits.run, e.origins.run, e.detour.Run}
+	if e.scaling != nil {
+		tasks = append(tasks, e.scaling.run, e.scaling.runDemand)
+	}
+	for _, run := range tasks {
 		group.Go(func() error { return run(groupCtx) })
 	}
 	select {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -295,6 +295,14 @@
 		reply = &wirepb.Frame{Body: &wirepb.Frame_HelloReply{HelloReply: &wirepb.HelloReply{}}}
 	case *wirepb.Frame_OriginCall:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_OriginReply{OriginReply: e.origins.serve(body.OriginCall)}}
+	case *wirepb.Frame_UsageCall:
+		if !e.scaling.serve(body.UsageCall) {
+			if err := stream.Refuse(&wirepb.Problem{Text: "another host decides on endpoints", NotRun: true}); err != nil {
+				e.logger.Debug("rejecting a call of a peer", zap.Error(err))
+			}
+			return
+		}
+		reply = &wirepb.Frame{Body: &wirepb.Frame_UsageReply{UsageReply: &wirepb.UsageReply{}}}
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Apply(decodeNotification(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
--- a/event/event.go
+++ b/event/event.go
@@ -143,6 +143,15 @@
 	OrderSenderStopped = define(883, "orders_left", zapcore.InfoLevel)
 	LeaseTaken         = define(884, "lease_taken", zapcore.InfoLevel)
 	LeaseFailed        = define(885, "lease_failed", zapcore.WarnLevel)
+
+	EndpointsDesired     = define(940, "endpoints_desired", zapcore.InfoLevel)
+	EndpointsOrdered     = define(941, "endpoints_ordered", zapcore.InfoLevel)
+	EndpointsNotOrdered  = define(942, "endpoints_not_ordered", zapcore.WarnLevel)
+	EndpointsUnavailable = define(943, "endpoints_unavailable", zapcore.InfoLevel)
+	ScalingStarted       = define(944, "scaling_begun", zapcore.InfoLevel)
+	ScalingStopped       = define(945, "scaling_left", zapcore.InfoLevel)
+	ScalingUnable        = define(946, "scaling_unable", zapcore.WarnLevel)
+	DemandNotSent        = define(947, "demand_not_sent", zapcore.InfoLevel)
 )
 
 var allEvents []Event
--- a/scale/planner.go
+++ b/scale/planner.go
@@ -20,9 +20,10 @@
 		// speeds holds the endpoints' smoothed speed by ID, 1 for the usual one.
 		speeds map[string]float64
 		// peaks holds the recent needs in slots by model.
-		peaks     map[string][]sample
-		startedAt time.Duration
-		started   bool
+		peaks map[string][]sample
+		// startedAt is when this node began to decide, firstAt when it first saw the service.
+		startedAt, firstAt time.Duration
+		started, seen      bool
 		// lowSince is since when the capacity exceeds the need by an endpoint or more.
 		lowSince time.Duration
 		low      bool
@@ -41,8 +42,11 @@
 		// confirmed is the number that the platform has taken last.
 		confirmed int
 		// shortSince is since when fewer endpoints are ready than the platform has taken.
-		shortSince   time.Duration
-		short        bool
+		shortSince time.Duration
+		short      bool
+		// excessSince is since when more are ready than the platform has taken.
+		excessSince  time.Duration
+		excess       bool
 		blockedUntil time.Duration
 		retryAt      time.Duration
 		failures     int
@@ -85,6 +89,17 @@
 // SetService replaces what the configuration says of the service.
 func (p *Planner) SetService(service Service) { p.service = service }
 
+// Follow records the endpoints at a node that does not decide. Only their first numbers
+// remain once it begins to.
+func (p *Planner) Follow(o Observation) {
+	p.count(o)
+	p.started, p.low = false, false
+	clear(p.peaks)
+	for _, d := range p.domains {
+		*d = domain{name: d.name, first: d.first, ready: d.ready, desired: d.ready, confirmed: d.ready, reason: AsFound}
+	}
+}
+
 // Observe records the state of the service and updates the desired numbers.
 func (p *Planner) Observe(o Observation) {
 	if !p.started {
@@ -103,6 +118,9 @@
 
 // count updates the domains' endpoints.
 func (p *Planner) count(o Observation) {
+	if !p.seen {
+		p.seen, p.firstAt = true, o.At
+	}
 	for _, d := range p.domains {
 		d.ready, d.busy = 0, 0
 	}
@@ -121,18 +139,41 @@
 		}
 	}
 	for _, d := range p.domains {
-		if d.first == unknownCount {
-			d.first, d.desired, d.confirmed, d.reason = d.ready, d.ready, d.ready, AsFound
+		settling := o.At-p.firstAt < settleTime && d.reason == AsFound && d.ready > d.first
+		if d.first == unknownCount || settling {
+			d.first = d.ready
+			d.adopt()
 		}
-		switch {
-		case d.confirmed == unknownCount || d.ready >= d.confirmed:
-			d.short = false
-		case !d.short:
-			d.short, d.shortSince = true, o.At
+		d.short = d.compare(d.short, d.ready < d.confirmed, &d.shortSince, o.At)
+		d.excess = d.compare(d.excess, d.ready > d.confirmed && d.desired == d.confirmed, &d.excessSince, o.At)
+		if d.excess && o.At-d.excessSince > p.patience() {
+			d.adopt()
 		}
 	}
 }
 
+// adopt takes the present number as the desired one.
+func (d *domain) adopt() {
+	d.desired, d.confirmed, d.reason, d.excess = d.ready, d.ready, AsFound, false
+}
+
+// compare returns whether a difference from the confirmed number is present, and records
+// since when.
+func (d *domain) compare(before, now bool, since *time.Duration, at time.Duration) bool {
+	if d.confirmed == unknownCount {
+		return false
+	}
+	if now && !before {
+		*since = at
+	}
+	return now
+}
+
+// patience is how long the platform may take to start or stop endpoints.
+func (p *Planner) patience() time.Duration {
+	return overdueBoots*p.service.Scaling.Boot + overdueMargin
+}
+
 // measure updates the need and the capacity in slots.
 func (p *Planner) measure(o Observation) {
 	interval := usualEventInterval(o.Endpoints)
@@ -238,7 +279,7 @@
 }
 
 func (p *Planner) overdue(d *domain, now time.Duration) bool {
-	return d.short && now-d.shortSince > overdueBoots*p.service.Scaling.Boot+overdueMargin
+	return d.short && now-d.shortSince > p.patience()
 }
 
 // raise adds endpoints until the need is met: to the domain with the fewest, and the
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -52,11 +52,14 @@
 	defaultEventInterval = 40 * time.Millisecond
 	// defaultStride is the number of tokens in one event if it is not configured.
 	defaultStride = 50
-	// overdueBoots and overdueMargin are how long an ordered endpoint may be missing,
-	// in boot times and beyond them, before it is no longer expected and the order is
-	// repeated.
+	// overdueBoots and overdueMargin are how long the platform may take to carry out an
+	// order, in boot times and beyond them. Then endpoints that are missing are no longer
+	// expected and the order is repeated, and those that nobody ordered are kept.
 	overdueBoots  = 2
 	overdueMargin = 2 * time.Second
+	// settleTime is how long after a node first saw a service its endpoints may still be
+	// starting, so that their number counts as found.
+	settleTime = 30 * time.Second
 	// minRetryDelay and maxRetryDelay limit the pause after an order that failed.
 	minRetryDelay = 500 * time.Millisecond
 	maxRetryDelay = 4 * time.Second
@@ -84,7 +87,7 @@
 
 // Reasons.
 const (
-	// AsFound means that the number is that of the first observation.
+	// AsFound means that the number is that of the endpoints that were there.
 	AsFound Reason = "as_found"
 	// Minimum means that the configuration demands more than there were.
 	Minimum Reason = "minimum"
