--- a/edge/peers.go
+++ b/edge/peers.go
@@ -296,13 +296,17 @@
 	case *wirepb.Frame_OriginCall:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_OriginReply{OriginReply: e.origins.serve(body.OriginCall)}}
 	case *wirepb.Frame_UsageCall:
-		if !e.scaling.serve(body.UsageCall) {
+		usageReply := &wirepb.UsageReply{}
+		switch {
+		case len(body.UsageCall.GetDemand()) == 0:
+			usageReply = e.serveUsage(body.UsageCall)
+		case !e.scaling.serve(body.UsageCall):
 			if err := stream.Refuse(&wirepb.Problem{Text: "another host decides on endpoints", NotRun: true}); err != nil {
 				e.logger.Debug("rejecting a call of a peer", zap.Error(err))
 			}
 			return
 		}
-		reply = &wirepb.Frame{Body: &wirepb.Frame_UsageReply{UsageReply: &wirepb.UsageReply{}}}
+		reply = &wirepb.Frame{Body: &wirepb.Frame_UsageReply{UsageReply: usageReply}}
 	case *wirepb.Frame_BatchNotice:
 		e.keeper.Apply(decodeNotification(body.BatchNotice))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -24,8 +24,8 @@
 )
 
 const (
-	// scalingLease names the lease of the host that orders endpoints.
-	scalingLease = "scaling"
+	// leaseScaling is the name of the lease of the host that orders endpoints.
+	leaseScaling = "scaling"
 	// scaleInterval is how often the host that decides observes the endpoints.
 	scaleInterval = 500 * time.Millisecond
 	// scaleCallInterval is the least time between two orders: no more than ten a second,
@@ -94,7 +94,7 @@
 		deps: deps, now: waits.Boottime, planners: make(map[string]*scale.Planner), reports: make(map[string]demandReport),
 		ordering: make(map[[2]string]bool),
 	}
-	s.duty = duty.New(duty.Deps{Name: scalingLease, Holder: deps.Name, Lease: deps.Lease, Assigned: s.deciding.Load, Logger: deps.Logger})
+	s.duty = duty.New(duty.Deps{Name: leaseScaling, Holder: deps.Name, Lease: deps.Lease, Assigned: s.deciding.Load, Logger: deps.Logger})
 	return s
 }
 
--- a/edge/scaling_test.go
+++ b/edge/scaling_test.go
@@ -83,7 +83,7 @@
 		s.gone[name] = &atomic.Bool{}
 		s.hosts[name] = newScaling(scalingDeps{
 			Name: name, Incarnation: 1, Peers: scalingPeers{hosts: s, name: name}, Fleet: f,
-			Lease:   lease.New(s.store, scalingLease, name, 1, scalingTestLease, 100*time.Millisecond, waits.Boottime),
+			Lease:   lease.New(s.store, leaseScaling, name, 1, scalingTestLease, 100*time.Millisecond, waits.Boottime),
 			Backlog: func(string) []batch.Backlog { return s.backlog(rank) },
 			Routes:  func() *routes.Table { return table }, Listed: func() bool { return true },
 			Order: platform.NewDuties(addressOf(rank, s.api.Address())).OrderEndpoints, Scope: tally.NoopScope, Logger: zap.NewNop(),
