--- a/edge/admin.go
+++ b/edge/admin.go
@@ -46,6 +46,8 @@
 		Orders orders.State `json:"orders"`
 		// Usage is the state of the usage reports, absent if there are none.
 		Usage *usage.State `json:"usage,omitempty"`
+		// Scaling is the state of the orders of endpoints, nil if none are ordered.
+		Scaling *ScalingState `json:"scaling,omitempty"`
 		// Store counts the node's calls to the platform's store.
 		Store StoreState `json:"store"`
 		// Quarantined counts the requests in quarantine for crashing endpoints.
@@ -142,7 +144,7 @@
 		Hub: e.roster.IsHub(), Children: children,
 		Status: e.status(), Leaving: e.leaving.Load(), LeaderRank: rank, Endpoints: e.fleet.All(),
 		Limits:  e.fleet.Limits().Dump(),
-		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(), Usage: e.dumpUsage(),
+		Batches: e.keeper.Dump(), Orders: e.orderSender.Dump(), Usage: e.dumpUsage(), Scaling: e.scaling.dump(),
 		Store:       StoreState{Calls: sent, Failed: failed, Reachable: e.store.Reachable()},
 		Quarantined: len(e.suspects.ledger.ListQuarantined()), Dials: e.sender.Dials(), Goroutines: runtime.NumGoroutine(), HeapBytes: memory.HeapAlloc,
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -154,6 +154,15 @@
 	UsageReportAbandoned = define(923, "usage_report_abandoned", zapcore.ErrorLevel)
 	UsageWindowFailed    = define(924, "usage_window_failed", zapcore.WarnLevel)
 	UsageNotSent         = define(925, "usage_not_sent", zapcore.InfoLevel)
+
+	EndpointsDesired     = define(940, "endpoints_desired", zapcore.InfoLevel)
+	EndpointsOrdered     = define(941, "endpoints_ordered", zapcore.InfoLevel)
+	EndpointsNotOrdered  = define(942, "endpoints_not_ordered", zapcore.WarnLevel)
+	EndpointsUnavailable = define(943, "endpoints_unavailable", zapcore.InfoLevel)
+	ScalingStarted       = define(944, "scaling_begun", zapcore.InfoLevel)
+	ScalingStopped       = define(945, "scaling_left", zapcore.InfoLevel)
+	ScalingUnable        = define(946, "scaling_unable", zapcore.WarnLevel)
+	DemandNotSent        = define(947, "demand_not_sent", zapcore.InfoLevel)
 )
 
 // Team returns the log field that names a team, none for an empty one.
