--- a/cmds/edge.go
+++ b/cmds/edge.go
@@ -21,6 +21,8 @@
 		}, &cli.StringFlag{
 			Name: "policy", Value: edge.DefaultPolicy,
 			Usage: "`POLICY` that places items and versions, for comparisons: " + edge.PolicyNames(),
+		}, &cli.BoolFlag{
+			Name: "order-endpoints", Usage: "order endpoints by demand where the settings name that duty",
 		}),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			policy, err := edge.PolicyByName(c.String("policy"))
@@ -28,7 +30,9 @@
 				return usageError("policy: %w", err)
 			}
 			return runOnHost(c, platform.RoleEdge, func(settings *setup.Host, logger *zap.Logger) error {
-				e := edge.New(settings, edge.Options{AdminPort: c.Int("admin-port"), Policy: policy}, logger)
+				e := edge.New(settings, edge.Options{
+					AdminPort: c.Int("admin-port"), Policy: policy, OrderEndpoints: c.Bool("order-endpoints"),
+				}, logger)
 				go watchSettings(ctx, c.String("settings"), platform.RoleEdge, logger, e.Reload)
 				return e.Run(ctx)
 			})
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -164,7 +164,7 @@
 		Decode: platform.DecodeNamedVersion, Demand: e.keeper.Demand, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.mirror = mirror.New(e.store, e.peers, settings.ConfigApplyLimit(), logger, e.mirroredKinds()...)
-	if settings.OrdersEndpoints() {
+	if options.OrderEndpoints && settings.OrdersEndpoints() {
 		e.scaling = newScaling(scalingDeps{
 			Name: self.Name, Incarnation: self.Incarnation, Peers: e.peers, Fleet: e.fleet, Backlog: e.keeper.Backlog,
 			Lease:  lease.New(e.store, leaseScaling, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
--- a/edge/policy.go
+++ b/edge/policy.go
@@ -21,6 +21,9 @@
 		AdminPort int
 		// Policy determines how items are placed and weight versions loaded.
 		Policy Policy
+		// OrderEndpoints makes the node take part in ordering endpoints where the settings
+		// name that duty.
+		OrderEndpoints bool
 		// DialEndpoint opens connections to endpoints, nil for a net.Dialer.
 		DialEndpoint detour.DialFunc
 	}
--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -259,7 +259,7 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	cmd, done := exec.Command(s.binary, "edge", "--admin-port", strconv.Itoa(adminPort)), make(chan struct{})
+	cmd, done := exec.Command(s.binary, "edge", "--order-endpoints", "--admin-port", strconv.Itoa(adminPort)), make(chan struct{})
 	cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings, "CURRANTLOFT_LINKS="+h.links)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
