feat(batch): empty pages of results are logged with where they came from

It is logged once for each position of a batch, so a batch has at most as many lines as chunks and hosts that read them, however often readers poll.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -247,6 +247,7 @@
 		page, err = k.deps.Peers.ReadAt(callCtx, keeper, id, after, wait)
 		cancel()
 		if err == nil {
+			k.logEmptyPage(id, after, page, keeper)
 			return page, nil
 		}
 		k.logPeerError(id, keeper, err)
@@ -257,7 +258,10 @@
 	page, err = k.readFromStore(ctx, head, after)
 	if err == nil && len(page.Results) == 0 && page.Next < page.Total && wait > 0 {
 		_ = waits.For(ctx, min(wait, storedWait))
-		return k.readFromStore(ctx, head, after)
+		page, err = k.readFromStore(ctx, head, after)
+	}
+	if err == nil {
+		k.logEmptyPage(id, after, page, sourceStore)
 	}
 	return page, err
 }
@@ -304,6 +308,7 @@
 			}
 		}
 		if stopWaiting {
+			k.logEmptyLocalPage(j, after)
 			return page, nil
 		}
 		select {
--- a/batch/calls_test.go
+++ b/batch/calls_test.go
@@ -31,3 +31,27 @@
 		})
 	}
 }
+
+// TestEmptyPagesAreLogged checks that the log tells where an empty page came from, once for
+// each position.
+func TestEmptyPagesAreLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	k := &Keeper{deps: Deps{Logger: zap.New(core)}, batches: map[string]*knownBatch{"b": {}}}
+	for _, after := range []int{1, 1, 2} {
+		k.logEmptyPage("b", after, Page{Total: 3, Next: after}, "node")
+	}
+	k.logEmptyPage("b", 0, Page{Total: 3, Next: 1, Results: make([]Result, 1)}, "node")
+	k.logEmptyPage("b", 3, Page{Total: 3, Next: 3}, "node")
+	j := &job{head: Head{ID: "b"}, results: NewResultLog(itemsOf(2, 1))}
+	j.results.Commit([]Result{{Item: "i0"}})
+	k.logEmptyLocalPage(j, 1)
+	k.logEmptyLocalPage(j, 1)
+	var got []string
+	for _, line := range logs.All() {
+		fields := line.ContextMap()
+		got = append(got, fmt.Sprint(line.Message, " ", fields["after"], " ", fields["source"], " ", fields["chunks"]))
+	}
+	check.Equal(t, "lines", got, []string{
+		"batch_page_empty 1 node <nil>", "batch_page_empty 2 node <nil>", "batch_page_empty 1 memory 1",
+	})
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -57,6 +57,8 @@
 		// one was committed.
 		uncertainUntil time.Time
 		confirmedAt    time.Time
+		// emptyPages is the position of the last empty page that was logged.
+		emptyPages emptyPages
 		// permission decides whether items may start. startsHeld reports that the last check
 		// left it invalid.
 		permission startPermission
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -179,6 +179,7 @@
 		ended      bool
 		handedOver bool
 		takingOver bool
+		emptyPages emptyPages
 	}
 )
 
--- a/event/event.go
+++ b/event/event.go
@@ -140,6 +140,7 @@
 	BatchEndFound           = define(899, "batch_end_found", zapcore.InfoLevel)
 	BatchStartsHeld         = define(900, "batch_starts_held", zapcore.WarnLevel)
 	ItemNotPermitted        = define(901, "item_not_permitted", zapcore.InfoLevel)
+	BatchPageEmpty          = define(902, "batch_page_empty", zapcore.InfoLevel)
 
 	VersionNamed       = define(880, "version_named", zapcore.InfoLevel)
 	VersionUnreadable  = define(881, "version_unreadable", zapcore.ErrorLevel)
