fix(batch): a chunk of another keeper does not show that there is no further one

Cause: before a keeper returns an empty page it asks the store for the chunk after its last one, but not within 0.4 s after it knew that it had all. It took any commit for such knowledge. A chunk that it created itself does show that there was no later one; a chunk of another keeper that it has just read from the store may be years old. So a keeper that lacked two chunks read the first, and answered a read that began at the end of that chunk with nothing. A host that leaves gets there: its successor writes on, and hosts that are not told of the hand-over read through the leaving one while it lives.

Ruled out as part of this cause: pages of results, which are prefixes of the stored chunks whatever the host knows.

--- a/batch/job.go
+++ b/batch/job.go
@@ -54,7 +54,7 @@
 		previous Head
 		// Until uncertainUntil another keeper may have written chunks. confirmedAt is
 		// when this node last had all stored chunks: the store had no further one, or
-		// one was committed.
+		// this node created the last one.
 		uncertainUntil time.Time
 		confirmedAt    time.Time
 		// emptyPages is the position of the last empty page that was logged.
@@ -250,6 +250,7 @@
 		return
 	}
 	_, err = object.CreateConfirmed(k.ctx, k.deps.Store, kindChunks, numberedName(j.head.ID, n), spec)
+	created := err == nil
 	var exists *object.ExistsError
 	if errors.As(err, &exists) {
 		var c chunk
@@ -269,6 +270,9 @@
 	defer k.mu.Unlock()
 	if j.results.Chunks() == n {
 		k.commitChunk(j, results)
+		if created {
+			j.confirmedAt = time.Now()
+		}
 	}
 	if j.results.Durable() == j.results.Total() {
 		event.BatchComplete.Log(k.deps.Logger, append(j.logFields(), zap.Duration("age", j.head.Age(time.Now())))...)
@@ -280,7 +284,7 @@
 func (k *Keeper) commitChunk(j *job, results []Result) {
 	j.results.Commit(results)
 	j.endRewards()
-	j.pendingSince, j.confirmedAt = time.Now(), time.Now()
+	j.pendingSince = time.Now()
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
