fix(batch): a keeper that is not the only one asks the store as long as it answers reads

Cause: a keeper mistrusted its memory for 15 s after another one had taken its batch over, and for 40 s after it had taken one over itself; results can be read for two minutes. While a batch is open its keeper learns of chunks of others when it writes its next one. Once the batch has ended it writes nothing, so a chunk that it lacks then stays unknown. A host that had handed its batch over had no mistrust at all unless its successor reached it.

Change: the decision is a part of its own (tailState) with a table of what a keeper may learn. That another keeper may write is never forgotten, also after a hand-over, after a pause, after a chunk of another keeper and after a write of unknown outcome; an ended batch counts like that. An empty page of such a batch costs a read of the store if the last one is 0.4 s old.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -40,9 +40,6 @@
 	// findTimeout limits asking another node for an unknown batch, before the store is
 	// asked.
 	findTimeout = 300 * time.Millisecond
-	// confirmTTL is how long the store's answer that there are no further results
-	// is trusted; a position that was read must be readable a second later.
-	confirmTTL = 400 * time.Millisecond
 	// storedWait is how long a read waits for new results if this node should own
 	// the batch but has not taken it over yet.
 	storedWait = 300 * time.Millisecond
@@ -325,10 +322,8 @@
 // lacks. The caller holds the lock.
 func (k *Keeper) mayLackResults(j *job, after int) bool {
 	now := time.Now()
-	if now.Sub(j.confirmedAt) < confirmTTL && after <= j.results.Durable() {
-		return false
-	}
-	return after > j.results.Durable() || now.Before(j.uncertainUntil) || now.Sub(k.deps.Peers.LastStatusChange()) < uncertainPeriod
+	unsettled := j.results.Ended() || now.Sub(k.deps.Peers.LastStatusChange()) < uncertainPeriod
+	return after > j.results.Durable() || j.tail.mayLackChunks(now, unsettled)
 }
 
 // readNextChunk reads the chunk after the last one in memory and commits it.
@@ -344,12 +339,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
-		j.confirmedAt = time.Now()
+		j.tail.confirm(time.Now())
 		return j.results.Chunks() > n, nil
 	}
 	if j.results.Chunks() == n {
 		event.BatchChunkOfOtherKeeper.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Int("chunk", n),
 			zap.String("winner", c.Keeper))
+		j.tail.share()
 		k.commitChunk(j, c.Results)
 	}
 	return true, nil
--- a/batch/dump.go
+++ b/batch/dump.go
@@ -1,7 +1,5 @@
 package batch
 
-import "time"
-
 // JobState describes a batch that a node owns.
 type JobState struct {
 	Head Head `json:"head"`
@@ -29,7 +27,7 @@
 		states = append(states, JobState{
 			Scoring: j.scoring(), Head: j.head, Durable: j.results.Durable(), Pending: j.results.Pending(), Running: len(j.running),
 			CompleteGroups: j.results.CompleteGroups(), DesiredGroups: j.submission.DesiredGroups, Chunks: j.results.Chunks(), Ended: j.results.Ended(),
-			Uncertain: time.Now().Before(j.uncertainUntil),
+			Uncertain: j.tail.shared,
 		})
 	}
 	return states
--- a/batch/empty.go
+++ b/batch/empty.go
@@ -55,10 +55,10 @@
 		return
 	}
 	checkedAgo := -time.Second
-	if !j.confirmedAt.IsZero() {
-		checkedAgo = time.Since(j.confirmedAt)
+	if !j.tail.confirmedAt.IsZero() {
+		checkedAgo = time.Since(j.tail.confirmedAt)
 	}
 	event.BatchPageEmpty.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Int("after", after),
 		zap.Int("total", j.results.Total()), zap.String("source", sourceMemory), zap.Int("results", j.results.Durable()),
-		zap.Int("chunks", j.results.Chunks()), zap.Duration("checked_ago", checkedAgo), zap.Bool("ended", j.results.Ended()))
+		zap.Int("chunks", j.results.Chunks()), zap.Duration("checked_ago", checkedAgo), zap.Bool("shared", j.tail.shared), zap.Bool("ended", j.results.Ended()))
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -52,11 +52,8 @@
 		// previous is the head with the previous keeper, until that node has been
 		// notified of the takeover; then it is empty.
 		previous Head
-		// Until uncertainUntil another keeper may have written chunks. confirmedAt is
-		// when this node last had all stored chunks: the store had no further one, or
-		// this node created the last one.
-		uncertainUntil time.Time
-		confirmedAt    time.Time
+		// tail decides when a read asks the store for further chunks.
+		tail tailState
 		// emptyPages is the position of the last empty page that was logged.
 		emptyPages emptyPages
 		// permission decides whether items may start. startsHeld reports that the last check
@@ -262,6 +259,9 @@
 	}
 	if err != nil {
 		event.BatchChunkRetried.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Int("chunk", n), zap.Error(err))
+		k.mu.Lock()
+		j.tail.share()
+		k.mu.Unlock()
 		_ = waits.For(k.ctx, urgentFlushDelay)
 		return
 	}
@@ -271,7 +271,9 @@
 	if j.results.Chunks() == n {
 		k.commitChunk(j, results)
 		if created {
-			j.confirmedAt = time.Now()
+			j.tail.confirm(time.Now())
+		} else {
+			j.tail.share()
 		}
 	}
 	if j.results.Durable() == j.results.Total() {
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -235,7 +235,7 @@
 	if notification.TakenOver {
 		h.head.Keeper, h.head.Incarnation, h.handedOver = notification.Head.Keeper, notification.Head.Incarnation, false
 		if j := k.jobs[id]; j != nil {
-			j.uncertainUntil = time.Now().Add(uncertainPeriod)
+			j.tail.share()
 		}
 	}
 	if s, offered := k.offers[id]; offered {
--- a/batch/leave.go
+++ b/batch/leave.go
@@ -41,6 +41,7 @@
 	for id, j := range k.jobs {
 		if h := k.batches[id]; h != nil && !h.ended {
 			h.handedOver = true
+			j.tail.share()
 			handedOver = append(handedOver, j.head)
 		}
 	}
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -35,7 +35,7 @@
 		now, boottime := time.Now(), k.deps.Clock()
 		if boottime-lastBoottime > pauseLimit {
 			event.NodeWasPaused.Log(k.deps.Logger, zap.Duration("pause", boottime-lastBoottime))
-			k.markAllUncertain()
+			k.shareAll()
 		}
 		lastBoottime = boottime
 		if !discovered {
@@ -62,14 +62,13 @@
 	}
 }
 
-// markAllUncertain makes reads of all batches check the store before they
-// report that there are no further results: another node may have taken the
-// batches over.
-func (k *Keeper) markAllUncertain() {
+// shareAll records that other nodes may have taken over all batches, so that
+// reads check the store before they report that there are no further results.
+func (k *Keeper) shareAll() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, j := range k.jobs {
-		j.uncertainUntil = time.Now().Add(uncertainPeriod)
+		j.tail.share()
 	}
 }
 
@@ -157,7 +156,7 @@
 			zap.String("from", h.head.Keeper), zap.Int("listed", j.results.Durable()),
 			zap.Int("total", j.results.Total()), zap.Duration("took", time.Since(start)), event.Team(h.head.Team))
 		k.deps.Scope.Counter("takeovers").Inc(1)
-		j.uncertainUntil = time.Now().Add(defaultLifetime)
+		j.tail.share()
 		j.previous = h.head
 		k.startJob(j)
 		h.head.Keeper, h.head.Incarnation, h.handedOver = k.deps.Name, k.deps.Incarnation, false
--- /dev/null
+++ b/batch/tail.go
@@ -0,0 +1,34 @@
+package batch
+
+import "time"
+
+// confirmTTL is how long the store's answer that there are no further results
+// is trusted; a position that was read must be readable a second later.
+const confirmTTL = 400 * time.Millisecond
+
+// tailState decides whether a keeper must ask the store before it says that a batch has no
+// further results. A keeper that is the only one to write chunks has them all in memory.
+//
+// It is designed for keepers that leave, are suspended or are taken for dead while their
+// batch goes on elsewhere, and for readers that still ask them.
+type tailState struct {
+	// shared reports that another keeper may write chunks. It stays true: nothing tells
+	// when the last write of another keeper takes effect.
+	shared bool
+	// confirmedAt is when this keeper last had all stored chunks: the store had no further
+	// one, or this keeper created the last one.
+	confirmedAt time.Time
+}
+
+// share records that another keeper may write chunks.
+func (s *tailState) share() { s.shared = true }
+
+// confirm records that the store had no further chunk.
+func (s *tailState) confirm(at time.Time) { s.confirmedAt = at }
+
+// mayLackChunks reports whether the store may have chunks that are not in memory.
+// Unsettled reports that a host was found dead or alive a short time ago, or that the batch
+// has ended, after which this keeper writes nothing and so learns of no chunk by itself.
+func (s *tailState) mayLackChunks(now time.Time, unsettled bool) bool {
+	return (s.shared || unsettled) && now.Sub(s.confirmedAt) >= confirmTTL
+}
--- /dev/null
+++ b/batch/tail_test.go
@@ -0,0 +1,34 @@
+package batch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantloft/currantloft/fakes/check"
+)
+
+// TestTailIsCheckedOnceShared replays what a keeper learns of its batch, and checks when a
+// read has to ask the store.
+func TestTailIsCheckedOnceShared(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name      string
+		events    func(s *tailState)
+		unsettled bool
+		want      bool
+	}{
+		{"only keeper", func(*tailState) {}, false, false},
+		{"a host was found dead", func(*tailState) {}, true, true},
+		{"a host was found dead, checked since", func(s *tailState) { s.confirm(now.Add(-confirmTTL / 2)) }, true, false},
+		{"another keeper", func(s *tailState) { s.share() }, false, true},
+		{"another keeper, checked since", func(s *tailState) { s.share(); s.confirm(now.Add(-confirmTTL / 2)) }, false, false},
+		{"another keeper, checked long ago", func(s *tailState) { s.share(); s.confirm(now.Add(-confirmTTL)) }, false, true},
+		{"another keeper after a check", func(s *tailState) { s.confirm(now.Add(-time.Hour)); s.share() }, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var s tailState
+			tc.events(&s)
+			check.Equal(t, "may lack chunks", s.mayLackChunks(now, tc.unsettled), tc.want)
+		})
+	}
+}
--- a/batch/takeover_test.go
+++ b/batch/takeover_test.go
@@ -67,7 +67,7 @@
 	time.Sleep(2*pauseLimit + 3*sweepInterval)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if until := k.jobs["s"].uncertainUntil; !until.IsZero() {
-		t.Errorf("uncertain until %v although the process was never suspended", until)
+	if k.jobs["s"].tail.shared {
+		t.Error("shared although the process was never suspended")
 	}
 }
