fix(batch): the answer that there are no further results counts from when it was asked for

What callers could see: an empty page at a position that was read elsewhere more than a second before.

Cause: that the store has no further chunk is trusted for 0.4 s. The time counted from the arrival of the answer, and by a clock that stops while the process is suspended, so a slow answer was trusted for up to 1 s or 2.4 s and one from before a suspension for longer. Permissions to start items already count from the request, on the clock that includes suspension.

Evidence: TestEmptyPageCountsFromWhenStoreWasAsked failed before (answer after 1 s, read 1.1 s after the chunk was stored) and passes now.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -321,9 +321,8 @@
 // mayLackResults reports whether the store may hold results that this node
 // lacks. The caller holds the lock.
 func (k *Keeper) mayLackResults(j *job, after int) bool {
-	now := time.Now()
-	unsettled := j.results.Ended() || now.Sub(k.deps.Peers.LastStatusChange()) < uncertainPeriod
-	return after > j.results.Durable() || j.tail.mayLackChunks(now, unsettled)
+	unsettled := j.results.Ended() || time.Since(k.deps.Peers.LastStatusChange()) < uncertainPeriod
+	return after > j.results.Durable() || j.tail.mayLackChunks(k.deps.Clock(), unsettled)
 }
 
 // readNextChunk reads the chunk after the last one in memory and commits it.
@@ -332,6 +331,7 @@
 	k.mu.Lock()
 	n := j.results.Chunks()
 	k.mu.Unlock()
+	askedAt := k.deps.Clock()
 	c, err := k.readChunk(ctx, j.head.ID, n)
 	if err != nil && !errors.Is(err, object.ErrNotFound) {
 		return false, fmt.Errorf("%w: %w", ErrUndetermined, err)
@@ -339,7 +339,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
-		j.tail.confirm(time.Now())
+		if j.results.Chunks() == n {
+			j.tail.confirm(askedAt)
+		}
 		return j.results.Chunks() > n, nil
 	}
 	if j.results.Chunks() == n {
--- a/batch/calls_test.go
+++ b/batch/calls_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/currantloft/currantloft/fakes/check"
+	"github.com/currantloft/currantloft/waits"
 )
 
 // TestLogPeerError checks that a keeper that answers that it does not own the
@@ -36,7 +37,7 @@
 // each position.
 func TestEmptyPagesAreLogged(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
-	k := &Keeper{deps: Deps{Logger: zap.New(core)}, batches: map[string]*knownBatch{"b": {}}}
+	k := &Keeper{deps: Deps{Logger: zap.New(core), Clock: waits.Boottime}, batches: map[string]*knownBatch{"b": {}}}
 	for _, after := range []int{1, 1, 2} {
 		k.logEmptyPage("b", after, Page{Total: 3, Next: after}, "node")
 	}
--- a/batch/empty.go
+++ b/batch/empty.go
@@ -55,8 +55,8 @@
 		return
 	}
 	checkedAgo := -time.Second
-	if !j.tail.confirmedAt.IsZero() {
-		checkedAgo = time.Since(j.tail.confirmedAt)
+	if j.tail.confirmed {
+		checkedAgo = k.deps.Clock() - j.tail.confirmedAt
 	}
 	event.BatchPageEmpty.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Int("after", after),
 		zap.Int("total", j.results.Total()), zap.String("source", sourceMemory), zap.Int("results", j.results.Durable()),
--- a/batch/job.go
+++ b/batch/job.go
@@ -240,7 +240,7 @@
 // writeChunk creates chunk n. If another keeper has created it already, that
 // chunk is committed here, and the results of this node go into a later one.
 func (k *Keeper) writeChunk(j *job, n int, results []Result) {
-	start := time.Now()
+	start, askedAt := time.Now(), k.deps.Clock()
 	spec, err := json.Marshal(chunk{First: j.results.Durable(), Results: results, Keeper: k.deps.Name})
 	if err != nil {
 		event.BatchUnreadable.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Error(err))
@@ -271,7 +271,7 @@
 	if j.results.Chunks() == n {
 		k.commitChunk(j, results)
 		if created {
-			j.tail.confirm(time.Now())
+			j.tail.confirm(askedAt)
 		} else {
 			j.tail.share()
 		}
--- a/batch/positions_test.go
+++ b/batch/positions_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/currantloft/currantloft/fakes/memory"
+	"github.com/currantloft/currantloft/object"
 )
 
 // chunkInterval is long enough for the result of one item to become a chunk of its own.
@@ -16,15 +20,29 @@
 // that owns no batches and so learns nothing of hand-overs.
 type positionSite struct {
 	*cluster
-	store   *memory.Store
+	store   *slowMissStore
 	engines map[string]*instantEngine
 	outside *Keeper
 	items   []string
 }
 
+// slowMissStore answers that a chunk does not exist only after a delay, in nanoseconds.
+type slowMissStore struct {
+	object.Store
+	delay atomic.Int64
+}
+
+func (s *slowMissStore) Get(ctx context.Context, kind, name string, freshness object.Freshness) (object.Entry, error) {
+	entry, err := s.Store.Get(ctx, kind, name, freshness)
+	if kind == kindChunks && freshness == object.Fresh && errors.Is(err, object.ErrNotFound) {
+		time.Sleep(time.Duration(s.delay.Load()))
+	}
+	return entry, err
+}
+
 // newPositionSite starts the keepers; all items are held.
 func newPositionSite(t *testing.T, items ...string) *positionSite {
-	s := &positionSite{cluster: newCluster(), store: memory.New(), engines: make(map[string]*instantEngine), items: items}
+	s := &positionSite{cluster: newCluster(), store: &slowMissStore{Store: memory.New()}, engines: make(map[string]*instantEngine), items: items}
 	began := time.Now()
 	clock := func() time.Duration { return time.Since(began) }
 	for _, name := range []string{"a", "b"} {
@@ -139,3 +157,32 @@
 		})
 	}
 }
+
+// TestEmptyPageCountsFromWhenStoreWasAsked guards against a slow answer that there is no
+// further result being trusted for as long as a quick one: another keeper stores the result
+// meanwhile, and it is read there.
+func TestEmptyPageCountsFromWhenStoreWasAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPositionSite(t, "i0", "i1")
+		owner, other := s.accept(t)
+		s.finish(owner, "i0")
+		k := s.at(owner)
+		s.store.delay.Store(int64(time.Second))
+		k.shareAll()
+		go func() {
+			if _, err := k.ReadLocal(t.Context(), "s", 1, 0); err != nil {
+				t.Error(err)
+			}
+		}()
+		time.Sleep(time.Millisecond)
+		spec, err := json.Marshal(chunk{First: 1, Results: []Result{{Item: "i1"}}, Keeper: other})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.store.Create(t.Context(), kindChunks, numberedName("s", 1), spec); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		s.checkPosition(t, k, 1, true)
+	})
+}
--- a/batch/tail.go
+++ b/batch/tail.go
@@ -15,20 +15,28 @@
 	// shared reports that another keeper may write chunks. It stays true: nothing tells
 	// when the last write of another keeper takes effect.
 	shared bool
-	// confirmedAt is when this keeper last had all stored chunks: the store had no further
-	// one, or this keeper created the last one.
-	confirmedAt time.Time
+	// confirmed reports that this keeper once had all stored chunks, confirmedAt when it
+	// last did, on the clock that includes suspension: the store had no further one, or
+	// this keeper created the last one.
+	confirmed   bool
+	confirmedAt time.Duration
 }
 
 // share records that another keeper may write chunks.
 func (s *tailState) share() { s.shared = true }
 
-// confirm records that the store had no further chunk.
-func (s *tailState) confirm(at time.Time) { s.confirmedAt = at }
+// confirm records that the store had no further chunk at the given time, which must not be
+// later than when the request that showed it was sent: a chunk may be created and read
+// elsewhere before the answer comes.
+func (s *tailState) confirm(at time.Duration) {
+	if !s.confirmed || at > s.confirmedAt {
+		s.confirmed, s.confirmedAt = true, at
+	}
+}
 
 // mayLackChunks reports whether the store may have chunks that are not in memory.
 // Unsettled reports that a host was found dead or alive a short time ago, or that the batch
 // has ended, after which this keeper writes nothing and so learns of no chunk by itself.
-func (s *tailState) mayLackChunks(now time.Time, unsettled bool) bool {
-	return (s.shared || unsettled) && now.Sub(s.confirmedAt) >= confirmTTL
+func (s *tailState) mayLackChunks(now time.Duration, unsettled bool) bool {
+	return (s.shared || unsettled) && (!s.confirmed || now-s.confirmedAt >= confirmTTL)
 }
--- a/batch/tail_test.go
+++ b/batch/tail_test.go
@@ -10,7 +10,7 @@
 // TestTailIsCheckedOnceShared replays what a keeper learns of its batch, and checks when a
 // read has to ask the store.
 func TestTailIsCheckedOnceShared(t *testing.T) {
-	now := time.Now()
+	const now = time.Hour
 	for _, tc := range []struct {
 		name      string
 		events    func(s *tailState)
@@ -19,11 +19,16 @@
 	}{
 		{"only keeper", func(*tailState) {}, false, false},
 		{"a host was found dead", func(*tailState) {}, true, true},
-		{"a host was found dead, checked since", func(s *tailState) { s.confirm(now.Add(-confirmTTL / 2)) }, true, false},
+		{"a host was found dead, checked since", func(s *tailState) { s.confirm(now - confirmTTL/2) }, true, false},
 		{"another keeper", func(s *tailState) { s.share() }, false, true},
-		{"another keeper, checked since", func(s *tailState) { s.share(); s.confirm(now.Add(-confirmTTL / 2)) }, false, false},
-		{"another keeper, checked long ago", func(s *tailState) { s.share(); s.confirm(now.Add(-confirmTTL)) }, false, true},
-		{"another keeper after a check", func(s *tailState) { s.confirm(now.Add(-time.Hour)); s.share() }, false, true},
+		{"another keeper, checked since", func(s *tailState) { s.share(); s.confirm(now - confirmTTL/2) }, false, false},
+		{"another keeper, checked long ago", func(s *tailState) { s.share(); s.confirm(now - confirmTTL) }, false, true},
+		{"answers of checks out of order", func(s *tailState) {
+			s.share()
+			s.confirm(now - confirmTTL/2)
+			s.confirm(now - confirmTTL)
+		}, false, false},
+		{"another keeper after a check", func(s *tailState) { s.confirm(now - time.Minute); s.share() }, false, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var s tailState
