fix(batch): an empty page of an older release is checked against the store

What callers see: while a fleet is upgraded, hosts of this release read through hosts of an earlier one, which leave one after the other.

Cause: a page does not say what an empty one rests on.

Change: a page says that it was checked (BatchPage.checked). Older releases ignore the field and don't set it; an empty page without it is read from the store instead. This lasts until the last older host is replaced.

Evidence: TestEmptyPageOfOlderReleaseIsChecked fails without the check in Read and passes with it. What callers of a host of an earlier release see can't be mended from here: it reads through hosts of its own release.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -95,6 +95,9 @@
 		Total   int
 		Next    int
 		Results []Result
+		// Checked reports that a page without results is right: the store has none at the
+		// position either. A node of an older release does not state it.
+		Checked bool
 	}
 
 	// Head identifies an accepted batch. It is small, so that nodes can list all
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -245,7 +245,10 @@
 		cancel()
 		if err == nil {
 			k.logEmptyPage(id, after, page, keeper)
-			return page, nil
+			if page.Checked || len(page.Results) > 0 || after >= page.Total {
+				return page, nil
+			}
+			return k.readFromStore(ctx, head, after)
 		}
 		k.logPeerError(id, keeper, err)
 		// The next read goes to the present keeper if another node knows it.
@@ -306,6 +309,7 @@
 		}
 		if stopWaiting {
 			k.logEmptyLocalPage(j, after)
+			page.Checked = true
 			return page, nil
 		}
 		select {
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -32,6 +32,8 @@
 		keepers map[string]*Keeper
 		dead    map[string]bool
 		lostAt  time.Time
+		// older nodes return pages without results, as an older release may.
+		older map[string]bool
 		// undiscovered makes the nodes behave as if they had not discovered all
 		// peers; set it before the first keeper.
 		undiscovered bool
@@ -55,7 +57,7 @@
 )
 
 func newCluster() *cluster {
-	return &cluster{keepers: make(map[string]*Keeper), dead: make(map[string]bool)}
+	return &cluster{keepers: make(map[string]*Keeper), dead: make(map[string]bool), older: make(map[string]bool)}
 }
 
 // setDead makes the peers consider a node dead, or alive again.
@@ -66,6 +68,14 @@
 	c.lostAt = time.Now()
 }
 
+// setOlder makes a node answer its peers' reads with pages without results, as one of an
+// older release may.
+func (c *cluster) setOlder(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.older[name] = true
+}
+
 func (c *cluster) at(name string) *Keeper {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,7 +138,13 @@
 }
 
 func (p clusterPeers) ReadAt(ctx context.Context, name, id string, after int, wait time.Duration) (Page, error) {
-	return p.cluster.at(name).ReadLocal(ctx, id, after, wait)
+	page, err := p.cluster.at(name).ReadLocal(ctx, id, after, wait)
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	if p.cluster.older[name] && err == nil {
+		return Page{Total: page.Total, Next: after}, nil
+	}
+	return page, err
 }
 
 func (p clusterPeers) BodyAt(_ context.Context, name, id, item string) ([]byte, error) {
--- a/batch/positions_test.go
+++ b/batch/positions_test.go
@@ -186,3 +186,16 @@
 		s.checkPosition(t, k, 1, true)
 	})
 }
+
+// TestEmptyPageOfOlderReleaseIsChecked guards against a result that had been read being
+// missing while a fleet is upgraded: hosts of a release that returns empty pages too early
+// are asked by hosts of this one until they are replaced.
+func TestEmptyPageOfOlderReleaseIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPositionSite(t, "i0", "i1")
+		owner, _ := s.accept(t)
+		s.finish(owner, "i0", "i1")
+		s.setOlder(owner)
+		s.checkPosition(t, s.outside, 1, true)
+	})
+}
--- a/edge/encode.go
+++ b/edge/encode.go
@@ -44,7 +44,7 @@
 }
 
 func encodePage(page batch.Page) *wirepb.BatchPage {
-	out := &wirepb.BatchPage{Kept: true, Total: int64(page.Total), Next: int64(page.Next)}
+	out := &wirepb.BatchPage{Kept: true, Total: int64(page.Total), Next: int64(page.Next), Checked: page.Checked}
 	for _, r := range page.Results {
 		result := &wirepb.BatchResult{Item: r.Item, Failed: r.Failed, Text: []byte(r.Text), Score: r.Score}
 		for _, v := range r.Versions {
@@ -56,7 +56,7 @@
 }
 
 func decodePage(in *wirepb.BatchPage) batch.Page {
-	page := batch.Page{Total: int(in.GetTotal()), Next: int(in.GetNext())}
+	page := batch.Page{Total: int(in.GetTotal()), Next: int(in.GetNext()), Checked: in.GetChecked()}
 	for _, r := range in.GetResults() {
 		result := batch.Result{Item: r.GetItem(), Failed: r.GetFailed(), Text: string(r.GetText()), Score: r.GetScore()}
 		for _, v := range r.GetVersions() {
--- a/edge/encode_test.go
+++ b/edge/encode_test.go
@@ -47,7 +47,7 @@
 		check.Equal(t, "notification", decodeNotification(roundTrip(t, encodeNotification(want), &wirepb.BatchNotice{})), want)
 	})
 	t.Run("a page", func(t *testing.T) {
-		want := batch.Page{Total: 9, Next: 3, Results: []batch.Result{
+		want := batch.Page{Total: 9, Next: 3, Checked: true, Results: []batch.Result{
 			{Item: "a", Text: "x\xffy", Versions: []int{1, 2}}, {Item: "b", Failed: true},
 		}}
 		check.Equal(t, "page", decodePage(roundTrip(t, encodePage(want), &wirepb.BatchPage{})), want)
