fix(batch): the first read after a suspension asks the store

What callers could see: an empty page at a position that had been read elsewhere, from a host that was suspended while another one went on with its batch.

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -171,6 +171,8 @@
 		partials    *partialCache
 		leaving     bool
 		lastMoveAt  time.Time
+		// sweptAt is when the sweep loop last ran, on the clock that includes suspension.
+		sweptAt time.Duration
 	}
 
 	// knownBatch is a batch in the memory of this node, whether it owns it or not.
@@ -194,6 +196,7 @@
 		jobs: make(map[string]*job), batches: make(map[string]*knownBatch), groupEndpoints: make(GroupEndpoints),
 		cache: newCache(), offers: make(map[string]Submission), submittedAt: make(map[string]time.Time), partials: newPartialCache(),
 	}
+	k.sweptAt = deps.Clock()
 	k.tasks.Go(k.scheduleLoop)
 	k.tasks.Go(k.sweepLoop)
 	k.runPeriodically(backupInterval, k.sendBackups)
--- a/batch/positions_test.go
+++ b/batch/positions_test.go
@@ -24,6 +24,8 @@
 	engines map[string]*instantEngine
 	outside *Keeper
 	items   []string
+	// suspended is for how long the hosts were suspended, in nanoseconds.
+	suspended atomic.Int64
 }
 
 // slowMissStore answers that a chunk does not exist only after a delay, in nanoseconds.
@@ -44,7 +46,7 @@
 func newPositionSite(t *testing.T, items ...string) *positionSite {
 	s := &positionSite{cluster: newCluster(), store: &slowMissStore{Store: memory.New()}, engines: make(map[string]*instantEngine), items: items}
 	began := time.Now()
-	clock := func() time.Duration { return time.Since(began) }
+	clock := func() time.Duration { return time.Since(began) + time.Duration(s.suspended.Load()) }
 	for _, name := range []string{"a", "b"} {
 		engine := &instantEngine{held: make(map[string]chan struct{})}
 		for _, item := range items {
@@ -158,6 +160,18 @@
 	}
 }
 
+// addChunk stores a chunk with one result as another keeper would.
+func (s *positionSite) addChunk(t *testing.T, n int, item, keeper string) {
+	t.Helper()
+	spec, err := json.Marshal(chunk{First: n, Results: []Result{{Item: item}}, Keeper: keeper})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.store.Create(t.Context(), kindChunks, numberedName("s", n), spec); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestEmptyPageCountsFromWhenStoreWasAsked guards against a slow answer that there is no
 // further result being trusted for as long as a quick one: another keeper stores the result
 // meanwhile, and it is read there.
@@ -168,25 +182,34 @@
 		s.finish(owner, "i0")
 		k := s.at(owner)
 		s.store.delay.Store(int64(time.Second))
-		k.shareAll()
+		k.mu.Lock()
+		k.jobs["s"].tail.share()
+		k.mu.Unlock()
 		go func() {
 			if _, err := k.ReadLocal(t.Context(), "s", 1, 0); err != nil {
 				t.Error(err)
 			}
 		}()
 		time.Sleep(time.Millisecond)
-		spec, err := json.Marshal(chunk{First: 1, Results: []Result{{Item: "i1"}}, Keeper: other})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := s.store.Create(t.Context(), kindChunks, numberedName("s", 1), spec); err != nil {
-			t.Fatal(err)
-		}
+		s.addChunk(t, 1, "i1", other)
 		time.Sleep(1100 * time.Millisecond)
 		s.checkPosition(t, k, 1, true)
 	})
 }
 
+// TestFirstReadAfterSuspensionChecksStore guards against an empty page from a host that was
+// suspended while its batch went on elsewhere, and that has not noticed the suspension yet.
+func TestFirstReadAfterSuspensionChecksStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPositionSite(t, "i0", "i1")
+		owner, other := s.accept(t)
+		s.finish(owner, "i0")
+		s.addChunk(t, 1, "i1", other)
+		s.suspended.Store(int64(10 * time.Second))
+		s.checkPosition(t, s.at(owner), 1, true)
+	})
+}
+
 // TestEmptyPageOfOlderReleaseIsChecked guards against a result that had been read being
 // missing while a fleet is upgraded: hosts of a release that returns empty pages too early
 // are asked by hosts of this one until they are replaced.
