test(integ): the soak ends batches, and checks that positions stay readable

A position that was read must now be on each page that begins there and was asked for a second later or more, at any host that answers with 200, and results of ended batches are read again at all hosts after the faults.

--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -433,15 +433,21 @@
 	return page, status
 }
 
+// settleBound is how long after a position was first read it must be readable at each host
+// that answers.
+const settleBound = time.Second
+
 // resultHistory records the results of a batch that readers have seen.
 type resultHistory struct {
 	mu         sync.Mutex
 	byPosition map[int]string
 	positions  map[string]int
+	// firstRead is when each position was first read.
+	firstRead map[int]time.Time
 }
 
 func newResultHistory() *resultHistory {
-	return &resultHistory{byPosition: make(map[int]string), positions: make(map[string]int)}
+	return &resultHistory{byPosition: make(map[int]string), positions: make(map[string]int), firstRead: make(map[int]time.Time)}
 }
 
 // check checks the results on a page and compares them with those seen before:
@@ -460,6 +466,9 @@
 			t.Errorf("item %s is at positions %d and %d", got.ID, before, position)
 		}
 		h.byPosition[position], h.positions[got.ID] = text, position
+		if _, ok := h.firstRead[position]; !ok {
+			h.firstRead[position] = time.Now()
+		}
 		events, software := fake.Unmark(got.Text)
 		if got.State == "completed" && events != fake.Text(got.ID) {
 			t.Errorf("item %s: text %q, want %q", got.ID, got.Text, fake.Text(got.ID))
@@ -482,6 +491,24 @@
 	}
 }
 
+// checkPresent checks that a page from a position, asked for at the given time, is not empty
+// although the position had been read.
+func (h *resultHistory) checkPresent(t testing.TB, page resultPage, id string, after int, from *host, askedAt time.Time) {
+	t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at, ok := h.firstRead[after]; ok && len(page.Results) == 0 && askedAt.Sub(at) > settleBound {
+		t.Errorf("%s has nothing at position %d of batch %s, which was read %v before", from.name, after, id, askedAt.Sub(at))
+	}
+}
+
+// read returns how many positions have been read.
+func (h *resultHistory) read() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.byPosition)
+}
+
 // readComplete reads a batch through alternating hosts until it has all results.
 func (s *site) readComplete(id string, history *resultHistory, total, minVersion int) {
 	s.t.Helper()
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -74,12 +74,15 @@
 	id      string
 	groups  int
 	history *resultHistory
+	// ended reports that its end was acknowledged.
+	ended bool
 }
 
 // TestSoak runs real processes under random faults: kills, restarts and pauses of
 // hosts, failures of the store, lost links to endpoints, broken streams and requests that
 // crash endpoints.
-// Accepted batches must complete with the same results at all hosts, streams must
+// Accepted batches must complete with the same results at all hosts unless they are ended,
+// results that were read must stay readable at each host, streams must
 // be complete, and non-idempotent requests must not run twice, nor at all after a
 // refusal.
 func TestSoak(t *testing.T) {
@@ -130,6 +133,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { s.submitBatches(stop) })
 	tasks.Go(func() { s.readBatches(stop) })
+	tasks.Go(func() { s.endBatches(stop) })
 	tasks.Go(func() { s.callNonIdempotent(stop) })
 	tasks.Go(func() { s.requestStreams(stop) })
 	s.injectFaults()
@@ -326,15 +330,43 @@
 		}
 		b := s.batches[n%len(s.batches)]
 		s.mu.Unlock()
-		after := (n * 7) % 13
-		page, status := s.readResults(s.hosts[n%len(s.hosts)], b.id, after)
+		after, h, askedAt := (n*7)%13, s.hosts[n%len(s.hosts)], time.Now()
+		page, status := s.readResults(h, b.id, after)
 		if status == http.StatusNotFound {
-			s.t.Errorf("batch %s is unknown at %s", b.id, s.hosts[n%len(s.hosts)].name)
+			s.t.Errorf("batch %s is unknown at %s", b.id, h.name)
+		}
+		if status == http.StatusOK {
+			b.history.checkPresent(s.t, page, b.id, after, h, askedAt)
 		}
 		b.history.check(s.t, page, after, 1)
 	})
 }
 
+// endBatches ends some batches of which results have been read.
+func (s *soak) endBatches(stop <-chan struct{}) {
+	n := 0
+	repeatUntil(stop, 400*time.Millisecond, func() {
+		n++
+		s.mu.Lock()
+		var open []*soakBatch
+		for _, b := range s.batches {
+			if !b.ended && b.history.read() > 0 {
+				open = append(open, b)
+			}
+		}
+		s.mu.Unlock()
+		if len(open) == 0 {
+			return
+		}
+		b := open[n%len(open)]
+		status, _ := s.send(http.MethodDelete, s.hosts[n%len(s.hosts)].callerAddress, "/currantloft/lots/"+b.id, "", nil)
+		s.mu.Lock()
+		// An end without an answer may have taken effect.
+		b.ended = b.ended || status != http.StatusNotFound
+		s.mu.Unlock()
+	})
+}
+
 // callNonIdempotent sends non-idempotent requests, which may run only once.
 func (s *soak) callNonIdempotent(stop <-chan struct{}) {
 	repeatUntil(stop, 20*time.Millisecond, func() {
@@ -414,7 +446,11 @@
 // with the answers that callers got.
 func (s *soak) checkResults() {
 	for _, b := range s.batches {
-		s.readComplete(b.id, b.history, 3*b.groups, 1)
+		if b.ended {
+			s.readAgain(b)
+		} else {
+			s.readComplete(b.id, b.history, 3*b.groups, 1)
+		}
 	}
 	runs := make(map[string]int)
 	for _, e := range s.endpoints() {
@@ -435,3 +471,21 @@
 	s.t.Logf("%d batches, %d non-idempotent calls, %d rejected, %d of %d streams complete",
 		len(s.batches), s.nonIdempotentCalls, len(s.rejectedIDs), s.completeStreams, s.streams)
 }
+
+// readAgain reads what has been read of a batch at each host.
+func (s *soak) readAgain(b *soakBatch) {
+	for _, h := range s.hosts {
+		after, want := 0, b.history.read()
+		s.eventually(fmt.Sprintf("%s has the results of batch %s", h.name, b.id), func() bool {
+			askedAt := time.Now()
+			page, status := s.readResults(h, b.id, after)
+			if status != http.StatusOK {
+				return false
+			}
+			b.history.checkPresent(s.t, page, b.id, after, h, askedAt)
+			b.history.check(s.t, page, after, 1)
+			after += len(page.Results)
+			return after >= want
+		})
+	}
+}
