test(batch): an acceptance that is learned of late starts a batch without its results

A host that is suspended while it holds the offer of a batch finds the notification of its acceptance in its buffers when it resumes, or lists the head. Another host has taken the batch over meanwhile. The job that is started from the offer counts as new: without results, and no other host is presumed to write chunks. The check for pauses comes before the job exists. Reads find nothing at positions that had been read, until the new owner's notification arrives.

--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,3 +32,39 @@
 		}
 	})
 }
+
+// TestLateAcceptanceStartsFromStoredResults guards against a result that had been read being
+// missing: the host that holds the offer of a batch learns of its acceptance only after another
+// one has taken the batch over.
+func TestLateAcceptanceStartsFromStoredResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPositionSite(t, "i0", "i1")
+		submission := submissionOf(t, "s", s.items...)
+		if !s.at("a").HoldOffer("s", submission.Host, submission.Path, submission.Raw) {
+			t.Fatal("offer not held")
+		}
+		s.setDead("a", true)
+		parts, err := s.at("b").storeBody(t.Context(), submission)
+		if err != nil {
+			t.Fatal(err)
+		}
+		head := Head{
+			ID: "s", Host: submission.Host, Path: submission.Path, Model: submission.Model, Items: len(s.items),
+			Keeper: "a", Incarnation: 1, AcceptedMs: time.Now().UnixMilli(), BodyParts: parts,
+		}
+		spec, err := json.Marshal(head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.store.Create(t.Context(), kindHeads, "s", spec); err != nil {
+			t.Fatal(err)
+		}
+		s.at("b").Apply(Notification{Head: head})
+		time.Sleep(time.Second)
+		s.finish("b", "i0")
+		s.checkPosition(t, s.at("b"), 0, true)
+		time.Sleep(2 * time.Second)
+		s.at("a").Apply(Notification{Head: head})
+		s.checkPosition(t, s.at("a"), 0, true)
+	})
+}
