test(batch): a hand-over does not tell the receiver that another host wrote chunks

A host is taken for dead, another one takes its batch over, writes results that are read, and begins to leave before it could tell the first one, which is alive again. The first host stays or becomes the owner with the job in its memory, and that is not marked as shared: it answers with no result at a position that had been read, checked.

--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"testing/synctest"
@@ -68,3 +69,26 @@
 		s.checkPosition(t, s.at("a"), 0, true)
 	})
 }
+
+// TestHandOverOfUnknownSuccessorSharesBatch guards against a result that had been read being
+// missing: a host that took a batch over leaves before it could tell the previous owner, which
+// was only unreachable.
+func TestHandOverOfUnknownSuccessorSharesBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPositionSite(t, "i0", "i1", "i2")
+		owner, successor := s.accept(t)
+		s.finish(owner, "i0")
+		s.setDead(owner, true)
+		time.Sleep(time.Second)
+		s.finish(successor, "i1")
+		s.checkPosition(t, s.at(successor), 1, true)
+		time.Sleep(time.Second)
+		s.setDead(successor, true)
+		s.setDead(owner, false)
+		ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+		defer cancel()
+		s.at(successor).Leave(ctx)
+		time.Sleep(time.Second)
+		s.checkPosition(t, s.at(owner), 1, true)
+	})
+}
