test(batch): a read right after a suspension is answered from memory

A read that waits in the buffers of a process that resumes can be answered before: from memory, with no result at a position that was read elsewhere meanwhile.

--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,3 +93,37 @@
 		s.checkPosition(t, s.at(owner), 1, true)
 	})
 }
+
+// TestSuspensionIsNoticedByFirstRead guards against a result that had been read being missing: a
+// host that was suspended is asked before its periodic check notices the pause.
+func TestSuspensionIsNoticedByFirstRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPositionSite(t, "i0", "i1")
+		s.setDead("a", true)
+		s.setDead("b", true)
+		began := time.Now()
+		var suspended atomic.Int64
+		clock := func() time.Duration { return time.Since(began) + time.Duration(suspended.Load()) }
+		engine := &instantEngine{held: make(map[string]chan struct{})}
+		engine.hold("i0")
+		engine.hold("i1")
+		k := startKeeperWith(t, "c", clusterPeers{cluster: s.cluster, name: "c"}, s.store, engine, clock)
+		submission := submissionOf(t, "s", s.items...)
+		if _, ok := k.Accept(t.Context(), submission).(Stored); !ok {
+			t.Fatal("batch not accepted")
+		}
+		time.Sleep(time.Second)
+		if _, err := k.ReadLocal(t.Context(), "s", 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		spec, err := json.Marshal(chunk{Results: []Result{{Item: "i0"}}, Keeper: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.store.Create(t.Context(), kindChunks, numberedName("s", 0), spec); err != nil {
+			t.Fatal(err)
+		}
+		suspended.Store(int64(5 * time.Second))
+		s.checkPosition(t, k, 0, true)
+	})
+}
