test(batch): two takeovers that cross leave a batch without an owner

Hosts that differ in which others they know choose different successors of a host that is gone, for instance since one of them has just joined. If both finish the takeover within the time of a notification, each learns of the other's after its own, believes it, and releases the batch.

--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/currantloft/currantloft/fakes/memory"
 )
 
 // TestResubmittedBatchKeepsPositions guards against a result that had been read being missing:
@@ -127,3 +129,73 @@
 		s.checkPosition(t, k, 0, true)
 	})
 }
+
+// partialView is a host's view of the others in which some are not known yet, and its
+// notifications take some time.
+type partialView struct {
+	clusterPeers
+	unknown *atomic.Value
+}
+
+func (p partialView) Keepers() []string {
+	var names []string
+	for _, name := range p.ActiveNames() {
+		if name != p.unknown.Load() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (p partialView) Notify(notification Notification) {
+	time.AfterFunc(5*time.Millisecond, func() { p.clusterPeers.Notify(notification) })
+}
+
+// TestCrossingTakeoversKeepAnOwner guards against a batch that no host works on any more: two
+// hosts take it over at the same time, and their notifications of that cross.
+func TestCrossingTakeoversKeepAnOwner(t *testing.T) {
+	for _, id := range []string{"s", "s1", "s2", "s3", "s4"} {
+		t.Run(id, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, store, began := newCluster(), memory.New(), time.Now()
+				clock := func() time.Duration { return time.Since(began) }
+				unknown := map[string]*atomic.Value{"a": {}, "b": {}, "c": {}}
+				engine := &instantEngine{held: make(map[string]chan struct{})}
+				engine.hold("i0")
+				for name, hidden := range unknown {
+					k := startKeeperWith(t, name, partialView{clusterPeers{cluster: c, name: name}, hidden}, store, engine, clock)
+					c.mu.Lock()
+					c.keepers[name] = k
+					c.mu.Unlock()
+				}
+				if _, ok := c.at("a").Accept(t.Context(), submissionOf(t, id, "i0")).(Stored); !ok {
+					t.Fatal("batch not accepted")
+				}
+				time.Sleep(time.Second)
+				works := func(name string) bool {
+					_, err := c.at(name).ReadLocal(t.Context(), id, 0, 0)
+					return err == nil
+				}
+				owner, others := "", []string{}
+				for _, name := range []string{"a", "b", "c"} {
+					if works(name) {
+						owner = name
+					} else {
+						others = append(others, name)
+					}
+				}
+				// Each of the others does not know of the one that has just joined.
+				unknown[others[0]].Store(others[1])
+				unknown[others[1]].Store(others[0])
+				c.setDead(owner, true)
+				time.Sleep(600 * time.Millisecond)
+				unknown[others[0]].Store("")
+				unknown[others[1]].Store("")
+				time.Sleep(5 * time.Second)
+				if !works(others[0]) && !works(others[1]) {
+					t.Error("no host works on the batch")
+				}
+			})
+		})
+	}
+}
