fix(platform): a write that a silent peer may have made is not reported as rejected

What callers could see: a submission is answered as rejected and not run, while the batch is accepted and runs.

Cause: a call that the store rejects for this host, or that follows a failed one, also goes through a hub. The outcome was taken from the call that was answered: the 503 of the direct call, also if the hub, which may have carried out the write, did not answer.

Evidence: TestPeerWithoutAnswerLeavesWriteUnknown failed in both cases, the hub asked first and second, and passes now.

Change: such a write has an unknown outcome, unless no hub got the call: there is none, or it accepts no connection. So a host that is alone still rejects at once while the store rejects its calls; the test checks that as well.

Measured: the tests of platform, edge and object pass. Not played on a site.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"reflect"
 	"slices"
 	"strings"
@@ -18,6 +21,7 @@
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/mirror"
+	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/roster"
@@ -249,11 +253,11 @@
 }
 
 // peerFallback makes a store call through a random hub. Status 0 means that it
-// got no answer.
+// got no answer. The error wraps object.ErrRefused if no hub got the call.
 func (p *peerClient) peerFallback(ctx context.Context, method, target string, body []byte) (int, []byte, error) {
 	hosts := p.Hubs()
 	if len(hosts) == 0 {
-		return 0, nil, nil
+		return 0, nil, fmt.Errorf("%w: there is no hub", object.ErrRefused)
 	}
 	h := hosts[rand.IntN(len(hosts))]
 	limit := peerFallbackTimeout
@@ -263,6 +267,10 @@
 	frame, err := p.pool.Do(ctx, h.PeerAddress, &wirepb.Frame{Body: &wirepb.Frame_StoreCall{StoreCall: &wirepb.StoreCall{
 		Method: method, Target: target, Body: body, LimitMs: limit.Milliseconds(),
 	}}})
+	var connecting *net.OpError
+	if errors.As(err, &connecting) && connecting.Op == "dial" {
+		return 0, nil, fmt.Errorf("%w: %w", object.ErrRefused, err)
+	}
 	if err != nil {
 		return 0, nil, err
 	}
