fix(batch): a hand-over by another host shows that it wrote chunks

What callers could see: no result at a position that had been read, at the owner of a batch.

Cause: a host that took a batch over from one that was only unreachable, and leaves before it could tell it, sends a hand-over and no takeover. The first owner did not take that as a sign that another host had written chunks.

Evidence: TestHandOverOfUnknownSuccessorSharesBatch failed before and passes now. What remains: a successor that is killed sends nothing at all.

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -227,6 +227,9 @@
 	}
 	h.handedOver = h.handedOver || notification.HandedOver
 	if notification.HandedOver {
+		if j := k.jobs[id]; j != nil {
+			j.tail.share()
+		}
 		select {
 		case k.handover <- struct{}{}:
 		default:
