--- a/batch/calls.go
+++ b/batch/calls.go
@@ -325,8 +325,10 @@
 // mayLackResults reports whether the store may hold results that this node
 // lacks. The caller holds the lock.
 func (k *Keeper) mayLackResults(j *job, after int) bool {
-	unsettled := j.results.Ended() || time.Since(k.deps.Peers.LastStatusChange()) < uncertainPeriod
-	return after > j.results.Durable() || j.tail.mayLackChunks(k.deps.Clock(), unsettled)
+	now := k.deps.Clock()
+	// After a suspension a read may come before the sweep loop runs.
+	unsettled := j.results.Ended() || time.Since(k.deps.Peers.LastStatusChange()) < uncertainPeriod || now-k.ranAt > pauseLimit
+	return after > j.results.Durable() || j.tail.mayLackChunks(now, unsettled)
 }
 
 // readNextChunk reads the chunk after the last one in memory and commits it.
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -171,6 +171,8 @@
 		partials    *partialCache
 		leaving     bool
 		lastMoveAt  time.Time
+		// ranAt is when the sweep loop last ran, by the clock that includes suspension.
+		ranAt time.Duration
 	}
 
 	// knownBatch is a batch in the memory of this node, whether it owns it or not.
@@ -193,6 +195,7 @@
 		deps: deps, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), handover: make(chan struct{}, 1),
 		jobs: make(map[string]*job), batches: make(map[string]*knownBatch), groupEndpoints: make(GroupEndpoints),
 		cache: newCache(), offers: make(map[string]Submission), submittedAt: make(map[string]time.Time), partials: newPartialCache(),
+		ranAt: deps.Clock(),
 	}
 	k.tasks.Go(k.scheduleLoop)
 	k.tasks.Go(k.sweepLoop)
--- a/batch/positions_test.go
+++ b/batch/positions_test.go
@@ -168,7 +168,9 @@
 		s.finish(owner, "i0")
 		k := s.at(owner)
 		s.store.delay.Store(int64(time.Second))
+		k.mu.Lock()
 		k.shareAll()
+		k.mu.Unlock()
 		go func() {
 			if _, err := k.ReadLocal(t.Context(), "s", 1, 0); err != nil {
 				t.Error(err)
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -16,7 +16,7 @@
 // another node should own, and lists the batches in the store periodically.
 func (k *Keeper) sweepLoop() {
 	started, discovered := time.Now(), false
-	lastListAt, lastBoottime := time.Time{}, k.deps.Clock()
+	lastListAt := time.Time{}
 	ticker := time.NewTicker(peersPoll)
 	defer ticker.Stop()
 	// Listing takes seconds while the store is unavailable; takeovers and the
@@ -32,12 +32,8 @@
 		case listErr = <-listResults:
 			listing = false
 		}
-		now, boottime := time.Now(), k.deps.Clock()
-		if boottime-lastBoottime > pauseLimit {
-			event.NodeWasPaused.Log(k.deps.Logger, zap.Duration("pause", boottime-lastBoottime))
-			k.shareAll()
-		}
-		lastBoottime = boottime
+		now := time.Now()
+		k.checkPause()
 		if !discovered {
 			if !k.deps.Peers.Discovered() && now.Sub(started) < peersTimeout {
 				continue
@@ -62,11 +58,22 @@
 	}
 }
 
+// checkPause shares all batches if the process was suspended since the last call.
+func (k *Keeper) checkPause() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.deps.Clock()
+	if pause := now - k.ranAt; pause > pauseLimit {
+		event.NodeWasPaused.Log(k.deps.Logger, zap.Duration("pause", pause))
+		k.shareAll()
+	}
+	k.ranAt = now
+}
+
 // shareAll records that other nodes may have taken over all batches, so that
 // reads check the store before they report that there are no further results.
+// The caller holds the lock.
 func (k *Keeper) shareAll() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	for _, j := range k.jobs {
 		j.tail.share()
 	}
