test(batch): the late acceptance is late in its test

The host that learns late of the acceptance listed the batch at its start, since nothing of it was suspended, so the test showed another case: an owner that others take for dead and that is not told. Its lists fail now. It fails on this code as before.

--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -43,6 +43,12 @@
 func TestLateAcceptanceStartsFromStoredResults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newPositionSite(t, "i0", "i1")
+		// The suspended host does not list the batch either.
+		store, ok := s.store.Store.(*memory.Store)
+		if !ok {
+			t.Fatal("unexpected store")
+		}
+		store.SetFaults(memory.Faults{FailLists: kindHeads})
 		submission := submissionOf(t, "s", s.items...)
 		if !s.at("a").HoldOffer("s", submission.Host, submission.Path, submission.Raw) {
 			t.Fatal("offer not held")
