fix(batch): a batch that is started from an offer may have results elsewhere

What callers could see: no results, or items that run again, at a host that had owned a batch before, or that learned of its acceptance late.

Cause: a job that is started from a submission in memory counts as new: no other host can have results of it. That holds only right after the submission. An offer was used also for a batch that was known already, with the first owner as its owner again.

A job that is started longer than the limit of a pause after its submission, or for a head that existed, counts as shared.

What remains: a host that refuses connections is taken for dead at once, so another one may take a batch over within that limit.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -102,10 +102,12 @@
 	k.applyLocked(Notification{Head: head})
 	if k.owns(head) && !k.batches[s.ID].ended {
 		j := k.newJob(head, s)
-		if !stored.Before {
+		if stored.Before {
+			j.tail.share()
+		} else {
 			j.permission.confirm(createdAt)
 		}
-		k.startJob(j)
+		k.startNew(j, createdAt)
 	}
 	k.mu.Unlock()
 	k.deps.Peers.Notify(Notification{Head: head})
@@ -174,7 +176,7 @@
 		// read from the store.
 		clear(k.offers)
 	}
-	k.offers[id] = s
+	k.offers[id] = offer{submission: s, heldAt: k.deps.Clock()}
 	k.firstSubmission(id, time.Now())
 	return true
 }
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -164,7 +164,7 @@
 		batches        map[string]*knownBatch
 		groupEndpoints GroupEndpoints
 		cache          *cache
-		offers         map[string]Submission
+		offers         map[string]offer
 		// submittedAt is when each batch was first submitted, as far as this node has
 		// seen it.
 		submittedAt map[string]time.Time
@@ -175,6 +175,13 @@
 		ranAt time.Duration
 	}
 
+	// offer is a batch that this node is to own once it is accepted. heldAt is when it came,
+	// by the clock that includes suspension.
+	offer struct {
+		submission Submission
+		heldAt     time.Duration
+	}
+
 	// knownBatch is a batch in the memory of this node, whether it owns it or not.
 	knownBatch struct {
 		head       Head
@@ -194,7 +201,7 @@
 	k := &Keeper{
 		deps: deps, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), handover: make(chan struct{}, 1),
 		jobs: make(map[string]*job), batches: make(map[string]*knownBatch), groupEndpoints: make(GroupEndpoints),
-		cache: newCache(), offers: make(map[string]Submission), submittedAt: make(map[string]time.Time), partials: newPartialCache(),
+		cache: newCache(), offers: make(map[string]offer), submittedAt: make(map[string]time.Time), partials: newPartialCache(),
 		ranAt: deps.Clock(),
 	}
 	k.tasks.Go(k.scheduleLoop)
@@ -221,8 +228,8 @@
 // applyLocked records a change to a batch. The caller holds the lock.
 func (k *Keeper) applyLocked(notification Notification) {
 	id := notification.Head.ID
-	h := k.batches[id]
-	if h == nil {
+	h, known := k.batches[id]
+	if !known {
 		h = &knownBatch{head: notification.Head}
 		k.batches[id] = h
 	} else if !notification.Head.TeamUnknown {
@@ -244,17 +251,13 @@
 			j.tail.share()
 		}
 	}
-	if s, offered := k.offers[id]; offered {
+	if o, offered := k.offers[id]; offered {
 		delete(k.offers, id)
-		known := h.head
-		h.head = notification.Head
-		if h.head.TeamUnknown {
-			h.head.Team, h.head.TeamUnknown = known.Team, known.TeamUnknown
-		}
-		// Without its team the batch is taken over from the store instead.
+		// Of a batch that was known before, other nodes may have written results, which the
+		// sweep loads. Without its team the batch is taken over from the store, too.
 		teamKnown := !h.head.TeamUnknown || !k.hasTeams()
-		if !notification.Ended && !h.ended && k.owns(h.head) && teamKnown {
-			k.startJob(k.newJob(h.head, s))
+		if !known && !notification.Ended && k.owns(h.head) && teamKnown {
+			k.startNew(k.newJob(h.head, o.submission), o.heldAt)
 		}
 	}
 	if notification.Ended {
@@ -345,6 +348,15 @@
 	})
 }
 
+// startNew starts work on a batch that no other node has worked on at the given time. Later
+// one may have taken it over if this node was suspended. The caller holds the lock.
+func (k *Keeper) startNew(j *job, at time.Duration) {
+	if k.deps.Clock()-at > pauseLimit {
+		j.tail.share()
+	}
+	k.startJob(j)
+}
+
 // startJob starts work on a batch. The caller holds the lock.
 func (k *Keeper) startJob(j *job) {
 	if k.jobs[j.head.ID] != nil {
