fix(batch): of two takeovers that cross the first by rank stays

What callers could see: a batch that never gets complete.

Cause: a host that took a batch over believed any later notification of a takeover. If two hosts took the same batch over and their notifications crossed, both released it, and both were alive, so that none took it over again.

Change: of two hosts that have both taken the batch over, the first by rank keeps it and notifies the other one again. The first owner still yields to one that took the batch over. With a host of an earlier release the fault remains if that one is the first by rank.

--- a/batch/job.go
+++ b/batch/job.go
@@ -52,6 +52,8 @@
 		// previous is the head with the previous keeper, until that node has been
 		// notified of the takeover; then it is empty.
 		previous Head
+		// takenOver reports that this node has taken the batch over from another one.
+		takenOver bool
 		// tail decides when a read asks the store for further chunks.
 		tail tailState
 		// emptyPages is the position of the last empty page that was logged.
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -246,10 +246,7 @@
 		}
 	}
 	if notification.TakenOver {
-		h.head.Keeper, h.head.Incarnation, h.handedOver = notification.Head.Keeper, notification.Head.Incarnation, false
-		if j := k.jobs[id]; j != nil {
-			j.tail.share()
-		}
+		k.applyTakeover(h, notification.Head)
 	}
 	if o, offered := k.offers[id]; offered {
 		delete(k.offers, id)
@@ -268,6 +265,22 @@
 	}
 }
 
+// applyTakeover records that another node has taken a batch over. Of two nodes that both
+// have, only the first by rank stays the owner, and notifies the other again: each may have
+// sent its notification before it got the other one. The caller holds the lock.
+func (k *Keeper) applyTakeover(h *knownBatch, head Head) {
+	j := k.jobs[h.head.ID]
+	if j != nil {
+		j.tail.share()
+		first, _ := rendez.First(head.ID, []string{k.deps.Name, head.Keeper})
+		if j.takenOver && first == k.deps.Name && head.Keeper != first && k.owns(h.head) && !h.handedOver {
+			j.previous = head
+			return
+		}
+	}
+	h.head.Keeper, h.head.Incarnation, h.handedOver = head.Keeper, head.Incarnation, false
+}
+
 // keeperOf returns the node that should own a batch. The caller holds the lock.
 func (k *Keeper) keeperOf(h *knownBatch) string {
 	if !h.handedOver && k.deps.Peers.Alive(h.head.Keeper, h.head.Incarnation) {
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -164,7 +164,7 @@
 			zap.Int("total", j.results.Total()), zap.Duration("took", time.Since(start)), event.Team(h.head.Team))
 		k.deps.Scope.Counter("takeovers").Inc(1)
 		j.tail.share()
-		j.previous = h.head
+		j.previous, j.takenOver = h.head, true
 		k.startJob(j)
 		h.head.Keeper, h.head.Incarnation, h.handedOver = k.deps.Name, k.deps.Incarnation, false
 		go k.deps.Peers.Notify(Notification{Head: h.head, TakenOver: true})
