test(batch): an owner that is taken for dead and not told lacks stored results

A host whose hellos fail for others is taken for dead, and another one takes its batch over. The first one learns of that by its own hellos, for 15 s, by the notification once the other one finds it alive, which is sent once and may get lost, or by its next chunk. Until then it presumes to be the only owner and answers from memory that there is no result at a position that was read at the successor. In the test it has found no host dead, as after 15 s of a cut, and writes nothing.

--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -136,6 +136,23 @@
 	})
 }
 
+// TestOwnerTakenForDeadShowsStoredResults guards against a result that had been read being
+// missing: others can't reach the owner, which notices nothing, and one of them takes its batch
+// over.
+func TestOwnerTakenForDeadShowsStoredResults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newPositionSite(t, "i0", "i1", "i2")
+		owner, successor := s.accept(t)
+		s.finish(owner, "i0")
+		s.setDead(owner, true)
+		time.Sleep(time.Second)
+		s.finish(successor, "i1")
+		s.checkPosition(t, s.at(successor), 1, true)
+		time.Sleep(time.Second)
+		s.checkPosition(t, s.at(owner), 1, true)
+	})
+}
+
 // partialView is a host's view of the others in which some are not known yet, and its
 // notifications take some time.
 type partialView struct {
