fix(batch): the owner of a batch asks the store before it returns an empty page

What callers could see: no result at a position that was read more than a second before, through a host that had no fault. Seen in the random sequences of TestReadSequences, twice so far in about 150,000: a host is taken for dead for some seconds, another one takes its batch over and writes results, the first host is alive again for a third one, which reads there before the notification of the takeover arrives.

Cause: an owner trusted its memory unless something had told it of another one. Being taken for dead tells it nothing: it may find no host dead itself, and the notification is sent once, when the other one finds it alive. That no other owner is known does not show that there is none.

Evidence: TestOwnerTakenForDeadShowsStoredResults failed before and passes now.

Change: an empty page costs a read of the store if the last one is 0.4 s old, at any owner. While the store does not answer, an owner that knows of no other one still answers, after 300 ms; one that knows of others does not, as before.

What remains: such an owner while the store does not answer it.

Measured: the tests of batch and event pass without the two of random sequences.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -295,13 +295,14 @@
 		changed := j.changed
 		complete := page.Next >= page.Total && after <= page.Total
 		stopWaiting := j.results.Ended() || complete || wait <= 0
-		uncertain := k.mayLackResults(j, after)
+		required := k.mayLackResults(j, after)
+		check := required || j.tail.outdated(k.deps.Clock())
 		k.mu.Unlock()
 		if len(page.Results) > 0 || complete {
 			return page, nil
 		}
-		if uncertain {
-			found, err := k.readNextChunk(ctx, j)
+		if check {
+			found, err := k.checkNextChunk(ctx, j, required)
 			if err != nil {
 				return Page{}, err
 			}
@@ -325,7 +326,7 @@
 }
 
 // mayLackResults reports whether the store may hold results that this node
-// lacks. The caller holds the lock.
+// lacks, as far as it has noticed. The caller holds the lock.
 func (k *Keeper) mayLackResults(j *job, after int) bool {
 	now := k.deps.Clock()
 	// After a suspension a read may come before the sweep loop runs.
@@ -333,6 +334,20 @@
 	return after > j.results.Durable() || j.tail.mayLackChunks(now, unsettled)
 }
 
+// checkNextChunk is readNextChunk. If the check is not required it has a short time, and the
+// store need not answer.
+func (k *Keeper) checkNextChunk(ctx context.Context, j *job, required bool) (found bool, err error) {
+	if required {
+		return k.readNextChunk(ctx, j)
+	}
+	checkCtx, cancel := context.WithTimeout(ctx, tailCheckTimeout)
+	defer cancel()
+	if found, err = k.readNextChunk(checkCtx, j); err != nil {
+		event.BatchTailNotChecked.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Error(err))
+	}
+	return found, nil
+}
+
 // readNextChunk reads the chunk after the last one in memory and commits it.
 // Found reports whether the job has new results.
 func (k *Keeper) readNextChunk(ctx context.Context, j *job) (found bool, err error) {
--- a/batch/owners_test.go
+++ b/batch/owners_test.go
@@ -153,6 +153,31 @@
 	})
 }
 
+// TestOnlyOwnerAnswersWithoutStore guards against polls that fail while the store is unavailable,
+// though the owner knows of no other one.
+func TestOnlyOwnerAnswersWithoutStore(t *testing.T) {
+	for name, faults := range map[string]memory.Faults{"refuses": {Refuse: true}, "does not answer": {Unresponsive: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPositionSite(t, "i0", "i1")
+				owner, _ := s.accept(t)
+				s.finish(owner, "i0")
+				store, ok := s.store.Store.(*memory.Store)
+				if !ok {
+					t.Fatal("unexpected store")
+				}
+				store.SetFaults(faults)
+				began := time.Now()
+				s.checkPosition(t, s.at(owner), 1, false)
+				if took := time.Since(began); took > peerTimeout {
+					t.Errorf("answered after %v, readers at other hosts wait %v", took, peerTimeout)
+				}
+				store.SetFaults(memory.Faults{})
+			})
+		})
+	}
+}
+
 // partialView is a host's view of the others in which some are not known yet, and its
 // notifications take some time.
 type partialView struct {
--- a/batch/tail.go
+++ b/batch/tail.go
@@ -6,6 +6,10 @@
 // is trusted; a position that was read must be readable a second later.
 const confirmTTL = 400 * time.Millisecond
 
+// tailCheckTimeout limits the question of a keeper that knows of no other one. Its reader
+// waits for the answer.
+const tailCheckTimeout = 300 * time.Millisecond
+
 // tailState decides whether a keeper must ask the store before it says that a batch has no
 // further results. A keeper that is the only one to write chunks has them all in memory.
 //
@@ -38,5 +42,11 @@
 // Unsettled reports that a host was found dead or alive a short time ago, or that the batch
 // has ended, after which this keeper writes nothing and so learns of no chunk by itself.
 func (s *tailState) mayLackChunks(now time.Duration, unsettled bool) bool {
-	return (s.shared || unsettled) && (!s.confirmed || now-s.confirmedAt >= confirmTTL)
+	return (s.shared || unsettled) && s.outdated(now)
+}
+
+// outdated reports whether it is too long ago that this keeper had all stored chunks. One that
+// others take for dead may not know that it is not the only one.
+func (s *tailState) outdated(now time.Duration) bool {
+	return !s.confirmed || now-s.confirmedAt >= confirmTTL
 }
--- a/event/event.go
+++ b/event/event.go
@@ -141,6 +141,7 @@
 	BatchStartsHeld         = define(900, "batch_starts_held", zapcore.WarnLevel)
 	ItemNotPermitted        = define(901, "item_not_permitted", zapcore.InfoLevel)
 	BatchPageEmpty          = define(902, "batch_page_empty", zapcore.InfoLevel)
+	BatchTailNotChecked     = define(903, "batch_tail_not_checked", zapcore.DebugLevel)
 
 	VersionNamed       = define(880, "version_named", zapcore.InfoLevel)
 	VersionUnreadable  = define(881, "version_unreadable", zapcore.ErrorLevel)
