test(quota): a late answer without a limit outweighs a limit named meanwhile

That an endpoint has no limit, or a higher one, counts from when the answer came. An endpoint that set a limit while the answer was on its way, and named it to another host, has its limit exceeded here: what the other host tells is older than the late answer and is dropped. This lasts until an answer to this host names the limit.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -252,3 +252,17 @@
 	}
 	return sent
 }
+
+// TestLiftedLimitCountsFromRequest guards against requests beyond a limit: the answer that an
+// endpoint has none was on its way while the endpoint set one, which another host was told.
+func TestLiftedLimitCountsFromRequest(t *testing.T) {
+	c := newClock()
+	b := NewBook(c.now, nil)
+	b.Observe(endpointID, c.now(), PerSecond(10))
+	c.advance(time.Second)
+	sentAt := c.now()
+	c.advance(3 * time.Second)
+	b.Observe(endpointID, sentAt, Limit{})
+	b.Learn(Fact{Endpoint: endpointID, Limit: PerSecond(2), Age: 2 * time.Second})
+	assertRate(t, b, PerSecond(2))
+}
