fix(quota): that a limit was lifted counts from when the request was sent

Cause: the answer may have been on its way while the endpoint set another limit.

Evidence: TestLiftedLimitCountsFromRequest failed before and passes now. The tests of quota and edge pass.

What remains: a limit that is really lifted is known a little later to hosts that were told the old one while the request was under way; the next answer tells them.

--- a/quota/book.go
+++ b/quota/book.go
@@ -135,7 +135,12 @@
 		b.mu.Unlock()
 		return
 	}
-	a.set(limit, b.now())
+	seenAt := b.now()
+	if from.StricterThan(limit) {
+		// The endpoint may have set a limit since.
+		seenAt = sentAt
+	}
+	a.set(limit, seenAt)
 	if limit != from {
 		b.notifyChange()
 	}
