fix(batch): empty pages are logged once for each position, also with several readers

What operators could see: a line of event 902 for each poll while two readers poll different positions of a batch in turn.

Cause: only the last position was remembered.

Evidence: TestEmptyPagesAreLogged, with a fourth read at the first position again, failed before (a third line of the node) and passes now.

Cost: an entry in memory for each position at which a read found nothing, at most as many as the batch has items.

--- a/batch/calls_test.go
+++ b/batch/calls_test.go
@@ -38,7 +38,7 @@
 func TestEmptyPagesAreLogged(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
 	k := &Keeper{deps: Deps{Logger: zap.New(core), Clock: waits.Boottime}, batches: map[string]*knownBatch{"b": {}}}
-	for _, after := range []int{1, 1, 2} {
+	for _, after := range []int{1, 1, 2, 1} {
 		k.logEmptyPage("b", after, Page{Total: 3, Next: after}, "node")
 	}
 	k.logEmptyPage("b", 0, Page{Total: 3, Next: 1, Results: make([]Result, 1)}, "node")
--- a/batch/empty.go
+++ b/batch/empty.go
@@ -15,19 +15,19 @@
 	sourceStore  = "store"
 )
 
-// emptyPages limits the log lines on pages without results to one for each position of a
-// batch: readers poll the same position until it has a result.
-type emptyPages struct {
-	logged   bool
-	position int
-}
+// emptyPages holds the positions of a batch at which a page without results was logged:
+// readers poll the same position until it has a result, and not all the same one.
+type emptyPages struct{ positions map[int]bool }
 
 // record reports whether an empty page at the position is to be logged.
 func (e *emptyPages) record(position int) bool {
-	if e.logged && e.position == position {
+	if e.positions[position] {
 		return false
 	}
-	e.logged, e.position = true, position
+	if e.positions == nil {
+		e.positions = make(map[int]bool)
+	}
+	e.positions[position] = true
 	return true
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -56,7 +56,7 @@
 		takenOver bool
 		// tail decides when a read asks the store for further chunks.
 		tail tailState
-		// emptyPages is the position of the last empty page that was logged.
+		// emptyPages are the positions of the empty pages that were logged.
 		emptyPages emptyPages
 		// permission decides whether items may start. startsHeld reports that the last check
 		// left it invalid.
