--- a/batch/empty.go
+++ b/batch/empty.go
@@ -51,7 +51,7 @@
 func (k *Keeper) logEmptyLocalPage(j *job, after int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !j.emptyPages.record(after) {
+	if after >= j.results.Total() || !j.emptyPages.record(after) {
 		return
 	}
 	checkedAgo := -time.Second
