--- a/batch/job.go
+++ b/batch/job.go
@@ -52,9 +52,11 @@
 		// previous is the head with the previous keeper, until that node has been
 		// notified of the takeover; then it is empty.
 		previous Head
+		// takenOver reports that this node has taken the batch over from another one.
+		takenOver bool
 		// tail decides when a read asks the store for further chunks.
 		tail tailState
-		// emptyPages is the position of the last empty page that was logged.
+		// emptyPages are the positions of the empty pages that were logged.
 		emptyPages emptyPages
 		// permission decides whether items may start. startsHeld reports that the last check
 		// left it invalid.
