fix(platform): an unreadable object no longer hides all others of its kind

What callers would see: one odd entry among those of the endpoints (nested deeper than 10,000 levels, bytes that are no JSON, a metadata field of another type or out of range, a value in place of an object) and no list or watch of the kind succeeds at any node until somebody removes it. Nodes that start get no endpoints at all; running ones keep using those that have left. The same holds for the hosts', batches' and windows' objects.

Cause: Store.List and Store.Watch passed a whole page to json.Unmarshal, which rejects the text for one syntax error or for nesting over 10,000 levels anywhere, also in a json.RawMessage, and reports a field that does not fit as an error of the whole.

Held before: invalid UTF-8, 1e999 and long numbers within the spec, which a json.RawMessage passes on.

An object without a readable name or revision is passed over and logged as object_unreadable, once a minute for each kind, since it is on every page.

--- a/event/event.go
+++ b/event/event.go
@@ -87,6 +87,7 @@
 	StoreLost             = define(800, "store_lost", zapcore.WarnLevel)
 	StoreRegained         = define(801, "store_regained", zapcore.InfoLevel)
 	UpdateMissed          = define(812, "update_missed", zapcore.InfoLevel)
+	ObjectUnreadable      = define(813, "object_unreadable", zapcore.WarnLevel)
 	WatchFailed           = define(802, "watch_failed", zapcore.WarnLevel)
 	EndpointEntryRejected = define(803, "endpoint_entry_rejected", zapcore.WarnLevel)
 	EndpointEntryChanged  = define(804, "endpoint_entry_changed", zapcore.InfoLevel)
