fix(edge): an entry that stays unreadable is logged once

What operators would see: an odd entry whose writer goes on writing it, as endpoints do at each heartbeat, logs endpoint_entry_rejected at every node each time, and wakes all that wait for a change of the endpoints.

Cause: applyEndpoint treated each change of such an entry as a new one.

Change: a node remembers which entries name no endpoint, until one is readable again or removed. A good entry in its place counts at once, and a good one that becomes odd is used no more; both held before, and the test guards them.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -108,7 +108,10 @@
 		// restoreUntil is the time until which entries that were removed while the
 		// store was unavailable may be registered again. The mirror's lock guards it.
 		restoreUntil time.Time
-		leaving      atomic.Bool
+		// rejected holds the names of the entries that name no endpoint. The mirror's lock
+		// guards it.
+		rejected map[string]bool
+		leaving  atomic.Bool
 		// adminPort is the port of the operators' listener, 0 for none.
 		adminPort int
 	}
@@ -120,7 +123,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes())))
 	e := &Edge{
 		logger: logger, adminPort: options.AdminPort, meter: meter.New(), pool: peers.NewPool(),
-		fleet: fleet.New(time.Now),
+		fleet: fleet.New(time.Now), rejected: make(map[string]bool),
 	}
 	e.settings.Store(settings)
 	e.pool.Observe(countCalls(e.meter.Scope()))
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -55,6 +55,7 @@
 		e.restoreUntil = time.Now().Add(fleet.RemovalGrace)
 	}
 	if change.Removed {
+		delete(e.rejected, name)
 		grace := max(0, time.Until(e.restoreUntil))
 		event.EndpointEntryRemoved.Log(e.logger, zap.String("endpoint", name), zap.Duration("grace", grace))
 		e.fleet.Remove(name, grace)
@@ -62,10 +63,15 @@
 	}
 	endpoint, err := platform.DecodeEntry(name, change.Entry.Spec)
 	if err != nil {
-		event.EndpointEntryRejected.Log(e.logger, zap.String("endpoint", name), zap.Error(err))
-		e.fleet.Remove(name, 0)
+		// Its writer may change it at each heartbeat.
+		if !e.rejected[name] {
+			event.EndpointEntryRejected.Log(e.logger, zap.String("endpoint", name), zap.Error(err))
+			e.fleet.Remove(name, 0)
+			e.rejected[name] = true
+		}
 		return
 	}
+	delete(e.rejected, name)
 	if e.fleet.Put(endpoint) {
 		event.EndpointEntryChanged.Log(e.logger, zap.String("endpoint", endpoint.ID), zap.String("service", endpoint.Service),
 			zap.String("software", endpoint.SoftwareVersion), zap.Bool("draining", endpoint.Draining),
