fix(event): texts of other programs don't make log lines of megabytes

What operators would see: names, states, versions and decoding errors of objects that others write get into log lines in full, and an object may have a megabyte: one odd entry is a line of that size at each node, or several a minute where a list repeats it.

Cause: fields were written as they came. encoding/json quotes numbers in its errors; the readers of hosts', batches' and trainers' objects log these.

Change: Event.Log cuts texts and errors after 2 KiB, at the start of a character.

Result: TestLongFieldsAreCut passes; before, the change of its constants aside, the fields were written unchanged (zap writes strings as they are).

--- a/event/event.go
+++ b/event/event.go
@@ -10,10 +10,19 @@
 package event
 
 import (
+	"unicode/utf8"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
+const (
+	// maxFieldBytes limits a text in a log line.
+	maxFieldBytes = 2 << 10
+	// cutMark ends a text that was cut.
+	cutMark = "..."
+)
+
 type (
 	// Event is one kind of log entry.
 	Event struct {
@@ -195,11 +204,35 @@
 // Level returns the event's log level.
 func (e Event) Level() zapcore.Level { return e.level }
 
-// Log writes the event with its fields.
+// Log writes the event with its fields. Texts and errors longer than maxFieldBytes are
+// cut: they may repeat what another program has sent.
 func (e Event) Log(logger *zap.Logger, fields ...zap.Field) {
 	entry := logger.Check(e.level, e.name)
 	if entry == nil {
 		return
 	}
-	entry.Write(append([]zap.Field{zap.Int("event", e.number)}, fields...)...)
+	written := make([]zap.Field, 0, len(fields)+1)
+	written = append(written, zap.Int("event", e.number))
+	for _, field := range fields {
+		written = append(written, cut(field))
+	}
+	entry.Write(written...)
+}
+
+// cut returns a field without what exceeds maxFieldBytes.
+func cut(field zap.Field) zap.Field {
+	text := field.String
+	if err, ok := field.Interface.(error); ok && field.Type == zapcore.ErrorType {
+		text = err.Error()
+	} else if field.Type != zapcore.StringType {
+		return field
+	}
+	if len(text) <= maxFieldBytes {
+		return field
+	}
+	end := maxFieldBytes
+	for end > 0 && !utf8.RuneStart(text[end]) {
+		end--
+	}
+	return zap.String(field.Key, text[:end]+cutMark)
 }
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -1,10 +1,14 @@
 package event
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"strings"
 	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 func TestCatalogueMatchesEvents(t *testing.T) {
@@ -27,3 +31,20 @@
 		t.Errorf("docs/EVENTS.md has %d events, the code has %d", rows, len(numbers))
 	}
 }
+
+// A log line must stay short, whatever another writer has put into a name or a value.
+func TestLongFieldsAreCut(t *testing.T) {
+	long := strings.Repeat("é", 1<<20)
+	core, logs := observer.New(zap.DebugLevel)
+	ObjectUnreadable.Log(zap.New(core), zap.String("kind", long), zap.Error(errors.New(long)), zap.String("short", "é"))
+	fields := logs.All()[0].ContextMap()
+	for _, name := range []string{"kind", "error"} {
+		text := fmt.Sprint(fields[name])
+		if len(text) > maxFieldBytes+len(cutMark) || !strings.HasPrefix(text, "éé") || !strings.HasSuffix(text, "é"+cutMark) {
+			t.Errorf("%s has %d bytes: %.20q", name, len(text), text)
+		}
+	}
+	if fields["short"] != "é" {
+		t.Errorf("got %q", fields["short"])
+	}
+}
