fix(peers): a message over the limit no longer ends the session's other calls

What callers would see: nine entries of a megabyte that change together make an update of more than 8 MiB. Each host it is sent to stops reading at its length; the sender writes until its time limit (5 minutes without one) and then closes the session, and with it all other calls on it: results that are read at a batch's keeper, permits, requests over a detour.

Cause: only the receiver knew maxFrameBytes, and a failed first frame always closed the session.

Evidence: TestLargeMessageKeepsSession failed before ("the call closed the session", after 300 s).

Change: Stream.Send refuses a frame that no receiver reads before it writes any of it, and the session stays. The receivers miss the update, notice by the next one, and list.

Result: passes; the package's tests pass with the race detector.

--- a/peers/pool.go
+++ b/peers/pool.go
@@ -94,7 +94,9 @@
 	stream := newStream(ctx, conn)
 	if err := stream.Send(call); err != nil {
 		_ = stream.Close()
-		p.drop(address, session)
+		if !errors.Is(err, errFrameTooLarge) {
+			p.drop(address, session)
+		}
 		return nil, fmt.Errorf("calling %s: %w", address, err)
 	}
 	return stream, nil
--- a/peers/pool_test.go
+++ b/peers/pool_test.go
@@ -76,6 +76,28 @@
 	})
 }
 
+// A message that is too large must not end the other calls of its session.
+func TestLargeMessageKeepsSession(t *testing.T) {
+	server, err := Listen("127.0.0.1:0", serveTestCall, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	pool := NewPool()
+	defer pool.Close()
+	if err := probe(t.Context(), pool, server.Address()); err != nil {
+		t.Fatal(err)
+	}
+	before := pool.connections[server.Address()].session
+	call := &wirepb.Frame{Body: &wirepb.Frame_BatchOffer{BatchOffer: &wirepb.BatchOffer{Raw: make([]byte, maxFrameBytes)}}}
+	if _, err := pool.Do(t.Context(), server.Address(), call); err == nil {
+		t.Error("a call larger than a frame was answered")
+	}
+	if before.IsClosed() {
+		t.Error("the call closed the session")
+	}
+}
+
 func FuzzRecv(f *testing.F) {
 	f.Add([]byte{2, 0x22, 0})
 	f.Fuzz(func(_ *testing.T, data []byte) {
--- a/peers/stream.go
+++ b/peers/stream.go
@@ -9,12 +9,17 @@
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/currantloft/currantloft/wirepb"
 )
 
+// maxFrameBytes limits a frame. A larger one is neither sent nor read.
 const maxFrameBytes = 8 << 20
 
+// errFrameTooLarge reports that a frame exceeds maxFrameBytes and nothing of it was sent.
+var errFrameTooLarge = errors.New("the frame is too large")
+
 type (
 	// Stream carries the frames of one call. Send and Recv may be used by one
 	// goroutine each.
@@ -57,6 +62,9 @@
 
 // Send writes one frame.
 func (s *Stream) Send(frame *wirepb.Frame) error {
+	if size := proto.Size(frame); size > maxFrameBytes {
+		return fmt.Errorf("sending a frame of %d bytes: %w", size, errFrameTooLarge)
+	}
 	writer := bufio.NewWriter(s.conn)
 	if _, err := protodelim.MarshalTo(writer, frame); err != nil {
 		return fmt.Errorf("sending a frame: %w", err)
