--- a/batch/positions_test.go
+++ b/batch/positions_test.go
@@ -54,9 +54,9 @@
 		}
 		s.engines[name] = engine
 		k := startKeeperWith(t, name, clusterPeers{cluster: s.cluster, name: name}, s.store, engine, clock)
-		s.cluster.mu.Lock()
+		s.mu.Lock()
 		s.keepers[name] = k
-		s.cluster.mu.Unlock()
+		s.mu.Unlock()
 	}
 	s.outside = startKeeperWith(t, "outside", clusterPeers{cluster: s.cluster, name: "outside", outside: true}, s.store, &instantEngine{}, clock)
 	return s
