fix(relay): a long line of an event is no end of it

A stream whose endpoint breaks off right after a line of 4 KiB is resumed one event too late, and the cut event is joined with the next one.

Cause: the reader returns a long line in parts of its buffer's size. The parts were taken for lines of their own. If the line is exactly as long as the buffer, the last part is its line feed alone, which counted as the blank line at the event's end; a part that begins with "id:" counted as an ID.

Evidence: the new case of TestStreamIsResumed fails without the change: the cut event is passed on, and the next endpoint is asked to go on after it ("last event IDs sent": 0, want none).

Change: a line is looked at once it is complete. go test ./relay passes.

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -111,7 +111,7 @@
 // endpoint stalls or disconnects.
 func (r *resumableStream) next() ([]byte, error) {
 	var eventBytes []byte
-	id, empty := noEventID, true
+	id, lineStart, empty := noEventID, 0, true
 	if r.started {
 		// Closing the body unblocks a waiting read.
 		body := r.body
@@ -131,7 +131,9 @@
 		case err != nil:
 			return nil, err
 		}
-		line := bytes.TrimRight(chunk, "\r\n")
+		// A line may come in several chunks.
+		line := bytes.TrimRight(eventBytes[lineStart:], "\r\n")
+		lineStart = len(eventBytes)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if n, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
 				id = n
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -63,6 +63,7 @@
 
 func TestStreamIsResumed(t *testing.T) {
 	const cut = "id: 2\nda"
+	longEvent := "id: 0\ndata: " + strings.Repeat("a", 4<<10-len("data: ")) + "\n\n"
 	type steps = []func(context.Context) Reply
 	for _, tc := range []struct {
 		name  string
@@ -132,6 +133,12 @@
 			[]int{-1, -1, 1},
 			eventsOf(0, 4), true,
 		},
+		{
+			"broken after a line as long as the read buffer", routes.Streaming,
+			steps{streamOf(1, longEvent[:len(longEvent)-1], true), streamOf(1, longEvent+eventsOf(1, 3), false)},
+			[]int{-1, -1},
+			longEvent + eventsOf(1, 3), true,
+		},
 		{
 			"route that is not resumable", routes.NonIdempotent,
 			steps{streamOf(1, eventsOf(0, 2)+cut, true)},
