fix(relay): bytes that belong to no event end an endpoint's part of a stream

Cause: a resumable stream was cut at blank lines only. Whatever stood before one was passed on as an event: an error page with its head that an endpoint writes into a stream without a stated length (its head ends with a blank line), an error's text that ends with a blank line, an event without an ID, a comment of the endpoint that was to go on. If the endpoint then ended its body properly, the stream ended as complete at that point.

Change: an event has an ID and consists of fields; other bytes count as a break, so that the stream goes on at another endpoint. Comments are passed on with the event that follows them, so that those of an endpoint that sends no event are dropped; they no longer restart the limit for a stalled stream.

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -28,13 +28,15 @@
 	// the target latency.
 	maxStallTimeout   = 1900 * time.Millisecond
 	maxStallLatencies = 4
-	// noEventID is the ID of a stream element without one, such as a comment.
+	// noEventID is the ID of an event without one.
 	noEventID = -1
 )
 
 var (
 	errEventTooLong   = errors.New("stream event exceeds the size limit")
 	errDuplicateEvent = errors.New("stream repeats an event that was already received")
+	errEventNoID      = errors.New("stream holds an event without an ID")
+	errNoEventField   = errors.New("stream holds bytes that belong to no event")
 )
 
 // resumableStream is an event stream that is resumed on another endpoint when
@@ -106,12 +108,12 @@
 	return r.active.fleet.StallLimit(r.target.ID(), stallTimeout, longest)
 }
 
-// next reads one event. It returns io.EOF if the stream ended after a complete
-// event, and another error if the event repeats one or is too long, or if the
-// endpoint stalls or disconnects.
+// next reads one event, with the comments before it. It returns io.EOF if the stream ended
+// after a complete event, and another error if the endpoint stalls, disconnects, repeats an
+// event or sends anything else than events.
 func (r *resumableStream) next() ([]byte, error) {
 	var eventBytes []byte
-	id, lineStart, empty := noEventID, 0, true
+	id, lineStart, inEvent := noEventID, 0, false
 	if r.started {
 		// Closing the body unblocks a waiting read.
 		body := r.body
@@ -121,42 +123,58 @@
 	for {
 		chunk, err := r.reader.ReadSlice('\n')
 		eventBytes = append(eventBytes, chunk...)
+		line := eventBytes[lineStart:]
 		switch {
 		case len(eventBytes) > maxEventBytes:
 			return nil, errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(eventBytes)) > 0:
+		case errors.Is(err, io.EOF) && (inEvent || len(bytes.TrimSpace(line)) > 0):
 			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) && r.started && len(eventBytes) > 0:
+			// Only comments follow the last event.
+			return eventBytes, nil
 		case err != nil:
 			return nil, err
 		}
-		// A line may come in several chunks.
-		line := bytes.TrimRight(eventBytes[lineStart:], "\r\n")
 		lineStart = len(eventBytes)
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0 && inEvent:
+			return eventBytes, r.eventRead(id)
+		case len(line) == 0 || line[0] == ':':
+			continue
+		case !IsEventField(line):
+			return nil, errNoEventField
+		}
+		inEvent = true
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if n, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
 				id = n
 			}
 		}
-		if len(line) > 0 {
-			empty = false
-		}
-		if len(line) == 0 && !empty {
-			if id <= r.lastID && id != noEventID {
-				return nil, errDuplicateEvent
-			}
-			if now := time.Now(); r.started {
-				r.active.fleet.RecordEventInterval(r.target.ID(), now.Sub(r.eventAt))
-			}
-			r.lastID, r.started, r.eventAt = max(r.lastID, id), true, time.Now()
-			r.active.pinStarted(r.target)
-			r.active.usage.firstEvent()
-			return eventBytes, nil
-		}
 	}
 }
 
+// eventRead records that a complete event was read. It returns an error if the event can't be
+// the next one of the stream.
+func (r *resumableStream) eventRead(id int) error {
+	switch {
+	case id == noEventID:
+		return errEventNoID
+	case id <= r.lastID:
+		return errDuplicateEvent
+	}
+	now := time.Now()
+	if r.started {
+		r.active.fleet.RecordEventInterval(r.target.ID(), now.Sub(r.eventAt))
+	}
+	r.lastID, r.started, r.eventAt = id, true, now
+	r.active.pinStarted(r.target)
+	r.active.usage.firstEvent()
+	return nil
+}
+
 // awaitResult waits for the result of the attempt with the given number. Results
 // of other attempts, which started before the stream did, are dropped.
 func (active *activeRequest) awaitResult(number int) attemptResult {
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -139,6 +139,18 @@
 			[]int{-1, -1},
 			longEvent + eventsOf(1, 3), true,
 		},
+		{
+			"error text after an event", routes.Streaming,
+			steps{streamOf(1, eventsOf(0, 2)+"overloaded\n\n", false), streamOf(1, eventsOf(2, 4), false)},
+			[]int{-1, 1},
+			eventsOf(0, 4), true,
+		},
+		{
+			"comments between events", routes.Streaming,
+			steps{streamOf(1, ": a\n\n"+eventsOf(0, 2)+": b\n\n"+eventsOf(2, 4)+": c\n\n", false)},
+			[]int{-1},
+			": a\n\n" + eventsOf(0, 2) + ": b\n\n" + eventsOf(2, 4) + ": c\n\n", true,
+		},
 		{
 			"route that is not resumable", routes.NonIdempotent,
 			steps{streamOf(1, eventsOf(0, 2)+cut, true)},
