fix(relay): a resumed stream goes on with the next event only

An endpoint that is asked to go on after event n and begins with event n+2 was believed, and the caller's stream lacked an event.

Cause: only IDs that repeat an event were rejected. Batches reject both.

Evidence: "next endpoint skips an event" of TestForeignBytesWithinStream and the new case of TestStreamIsResumed fail without the change.

Change: the first event after a resumption, by the relay or by the caller, has the ID after the last one, as the endpoints' protocol states; else the stream goes on at another endpoint. Later IDs of one endpoint only have to increase, as before: that endpoint numbers its events itself.

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -35,6 +35,7 @@
 var (
 	errEventTooLong   = errors.New("stream event exceeds the size limit")
 	errDuplicateEvent = errors.New("stream repeats an event that was already received")
+	errEventGap       = errors.New("stream goes on with another event than the next one")
 	errEventNoID      = errors.New("stream holds an event without an ID")
 	errNoEventField   = errors.New("stream holds bytes that belong to no event")
 )
@@ -164,6 +165,8 @@
 		return errEventNoID
 	case id <= r.lastID:
 		return errDuplicateEvent
+	case !r.started && r.lastID >= 0 && id > r.lastID+1:
+		return errEventGap
 	}
 	now := time.Now()
 	if r.started {
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -145,6 +145,12 @@
 			[]int{-1, 1},
 			eventsOf(0, 4), true,
 		},
+		{
+			"endpoint that goes on after a later event is skipped", routes.Streaming,
+			steps{streamOf(1, eventsOf(0, 2), true), streamOf(1, eventsOf(3, 4), false), streamOf(1, eventsOf(2, 4), false)},
+			[]int{-1, 1, 1},
+			eventsOf(0, 4), true,
+		},
 		{
 			"comments between events", routes.Streaming,
 			steps{streamOf(1, ": a\n\n"+eventsOf(0, 2)+": b\n\n"+eventsOf(2, 4)+": c\n\n", false)},
