fix(relay): an endpoint that closes before its first event doesn't complete a stream

Cause: the end of the next endpoint's body was the end of the stream, also if it had sent no event and its body had no stated end. An endpoint that writes a head and then closes its connection, as one that fails does, ended the stream properly. The same held for a first endpoint without any event.

Evidence: "next endpoint closes at once", "first endpoint closes at once" and "first endpoint sends no event" of TestForeignBytesWithinStream fail without the change; the callers read a complete answer of two events, or of none.

Change: an answer says whether its end is stated. Without a single event of an endpoint, its end counts only if it is stated and events came before: the break may have come after the last event. "end confirmed by the next endpoint" covers that and passes before and after.

What remains: an endpoint that closes a body without a stated end after one of its events can't be told from one that is done; the protocol takes a proper close as the end and a reset as a break.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -68,6 +68,9 @@
 		Body   io.ReadCloser
 		// Length is the body's length in bytes, -1 if the endpoint does not state it.
 		Length int64
+		// Unframed reports whether the end of the body is not stated: it ends with the
+		// connection.
+		Unframed bool
 		// Signed reports whether the answer has the endpoint's signature.
 		Signed bool
 		// Signature is that signature, empty for none.
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -37,6 +37,7 @@
 	errDuplicateEvent = errors.New("stream repeats an event that was already received")
 	errEventGap       = errors.New("stream goes on with another event than the next one")
 	errEventNoID      = errors.New("stream holds an event without an ID")
+	errNoEvent        = errors.New("endpoint ended the stream without an event")
 	errNoEventField   = errors.New("stream holds bytes that belong to no event")
 )
 
@@ -54,7 +55,9 @@
 	target  fleet.Target
 	version int
 	body    io.ReadCloser
-	reader  *bufio.Reader
+	// unframed reports whether the end of the body is not stated.
+	unframed bool
+	reader   *bufio.Reader
 	// pending holds bytes of complete events that Read has not returned yet; lastID
 	// is the highest event ID read so far.
 	pending []byte
@@ -70,7 +73,7 @@
 
 func newResumableStream(ctx context.Context, active *activeRequest, answer Answer, target fleet.Target) *resumableStream {
 	return &resumableStream{
-		ctx: ctx, active: active, target: target, version: answer.Version, body: answer.Body,
+		ctx: ctx, active: active, target: target, version: answer.Version, body: answer.Body, unframed: answer.Unframed,
 		reader: bufio.NewReader(answer.Body), lastID: active.request.LastEventID,
 	}
 }
@@ -132,6 +135,8 @@
 			continue
 		case errors.Is(err, io.EOF) && (inEvent || len(bytes.TrimSpace(line)) > 0):
 			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) && !r.started && (r.unframed || r.lastID < 0):
+			return nil, errNoEvent
 		case errors.Is(err, io.EOF) && r.started && len(eventBytes) > 0:
 			// Only comments follow the last event.
 			return eventBytes, nil
@@ -208,7 +213,7 @@
 		result := active.awaitResult(active.attempts.Sent)
 		answer, ok := result.reply.(Answer)
 		if ok && answer.Status == 200 && answer.Streamed && answer.Signed && answer.Version == r.version {
-			r.body, r.target, r.started, r.resumed = answer.Body, result.target, false, true
+			r.body, r.unframed, r.target, r.started, r.resumed = answer.Body, answer.Unframed, result.target, false, true
 			r.reader.Reset(answer.Body)
 			event.StreamResumed.Log(active.logger, zap.String("request", active.request.ID), zap.String("from", lostEndpoint),
 				zap.String("endpoint", result.target.ID()), zap.String("software", string(result.target.Software())),
