fix(relay): events of another endpoint don't follow an error

Here the error stood first: an endpoint answered a new stream with an error whose body is an event stream, and the body broke off. The caller got the error's status, its text, and then all events of a successful run at another endpoint, ended as complete.

Cause: any answer that is an event stream was taken for a stream that can be resumed, whatever its status.

Change: only a successful stream is resumed. An error that is an event stream is read to its end like any other error, so that one that breaks off counts as lost, and the next endpoint answers with its own status.

--- a/relay/serve.go
+++ b/relay/serve.go
@@ -220,7 +220,7 @@
 			}
 		}
 		if result.body == nil && reply.Body != nil {
-			if active.route.Resumable && reply.Streamed {
+			if active.route.Resumable && reply.Streamed && reply.Status < 300 {
 				reply.Body = newResumableStream(ctx, active, reply, result.target)
 			}
 			return Answered{Status: reply.Status, Header: reply.Header, Stream: reply.Body}
@@ -330,16 +330,16 @@
 	}
 }
 
-// bufferShortAnswer reads a short answer into memory; the body of a long or
-// streamed one stays unread. It returns Lost for a successful answer without a
-// signature, for one that ends early, and for one that turns out to be too
-// long.
+// bufferShortAnswer reads a short answer into memory, also an error that is an event
+// stream; the body of a long answer or of a successful stream stays unread. It returns
+// Lost for a successful answer without a signature, for one that ends early, and for one
+// that turns out to be too long.
 func (active *activeRequest) bufferShortAnswer(answer Answer) ([]byte, Reply) {
 	if answer.Status < 300 && !answer.Signed {
 		_ = answer.Body.Close()
 		return nil, Lost{Cause: errUnsigned}
 	}
-	if answer.Streamed || answer.Length > maxBufferedBytes {
+	if answer.Streamed && answer.Status < 300 || answer.Length > maxBufferedBytes {
 		return nil, answer
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
