fix(relay): a stream that can't be resumed consists of whole events too

Cause: streams of routes that aren't resumable were copied byte by byte. If the endpoint's body had no stated length, an error page that it wrote after an event was passed on, and the end of its connection within an event ended the caller's stream as complete.

Change: the events of all successful streams are read in one place, which passes on whole events and reports anything else as an error, so that the caller's connection is broken. Streams that can't be resumed are neither limited for stalls nor recorded for callers that resume, as before.

--- a/relay/pin.go
+++ b/relay/pin.go
@@ -52,9 +52,10 @@
 	return sole, sole != ""
 }
 
-// pinStarted limits a stream to the software that has sent its first event.
+// pinStarted limits a stream that can be resumed to the software that has sent its first
+// event.
 func (active *activeRequest) pinStarted(target fleet.Target) {
-	if active.software != "" {
+	if active.software != "" || !active.route.Resumable {
 		return
 	}
 	active.software = target.Software()
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// maxEventBytes limits the size of one event of a resumable stream.
+	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
-	// stallTimeout is how long a started stream may go without a complete event.
+	// stallTimeout is how long a started stream that can be resumed may go without a
+	// complete event.
 	// It lies between the 0.3 s from one event of a slow endpoint to the next and
 	// the two seconds after which callers disconnect.
 	stallTimeout = 1200 * time.Millisecond
@@ -41,15 +42,14 @@
 	errNoEventField   = errors.New("stream holds bytes that belong to no event")
 )
 
-// resumableStream is an event stream that is resumed on another endpoint when
-// its connection breaks. It forwards only complete events, so that a resumed
-// stream starts at an event boundary.
+// eventStream is the event stream of a successful answer. It forwards only complete events.
+// If the route allows, it is resumed on another endpoint when its connection breaks.
 //
 // Only endpoints with the software that sent the first event continue the stream.
 //
 // It is designed for endpoints that crash, are released or reset connections in
 // the middle of streams while others of the service have free slots.
-type resumableStream struct {
+type eventStream struct {
 	ctx     context.Context
 	active  *activeRequest
 	target  fleet.Target
@@ -71,15 +71,15 @@
 	err     error
 }
 
-func newResumableStream(ctx context.Context, active *activeRequest, answer Answer, target fleet.Target) *resumableStream {
-	return &resumableStream{
+func newEventStream(ctx context.Context, active *activeRequest, answer Answer, target fleet.Target) *eventStream {
+	return &eventStream{
 		ctx: ctx, active: active, target: target, version: answer.Version, body: answer.Body, unframed: answer.Unframed,
 		reader: bufio.NewReader(answer.Body), lastID: active.request.LastEventID,
 	}
 }
 
-// Read returns bytes of complete events and resumes a broken stream.
-func (r *resumableStream) Read(buffer []byte) (int, error) {
+// Read returns bytes of complete events. It resumes a broken stream if it can.
+func (r *eventStream) Read(buffer []byte) (int, error) {
 	for len(r.pending) == 0 {
 		if r.err != nil {
 			return 0, r.err
@@ -100,11 +100,11 @@
 }
 
 // Close closes the connection to the current endpoint.
-func (r *resumableStream) Close() error { return r.body.Close() }
+func (r *eventStream) Close() error { return r.body.Close() }
 
 // stallLimit returns how long the next event may take. It is longer once the stream has
 // stalled: an endpoint's usual interval is not known before two of its events.
-func (r *resumableStream) stallLimit() time.Duration {
+func (r *eventStream) stallLimit() time.Duration {
 	longest := max(maxStallTimeout, maxStallLatencies*r.active.route.TargetLatency)
 	if r.resumed {
 		return longest
@@ -115,10 +115,10 @@
 // next reads one event, with the comments before it. It returns io.EOF if the stream ended
 // after a complete event, and another error if the endpoint stalls, disconnects, repeats an
 // event or sends anything else than events.
-func (r *resumableStream) next() ([]byte, error) {
+func (r *eventStream) next() ([]byte, error) {
 	var eventBytes []byte
 	id, lineStart, inEvent := noEventID, 0, false
-	if r.started {
+	if r.started && r.active.route.Resumable {
 		// Closing the body unblocks a waiting read.
 		body := r.body
 		watchdog := time.AfterFunc(r.stallLimit(), func() { _ = body.Close() })
@@ -164,7 +164,7 @@
 
 // eventRead records that a complete event was read. It returns an error if the event can't be
 // the next one of the stream.
-func (r *resumableStream) eventRead(id int) error {
+func (r *eventStream) eventRead(id int) error {
 	switch {
 	case id == noEventID:
 		return errEventNoID
@@ -200,7 +200,7 @@
 
 // resume continues the stream on another endpoint after the last complete event.
 // It returns an error if that is not possible.
-func (r *resumableStream) resume(cause error) error {
+func (r *eventStream) resume(cause error) error {
 	active := r.active
 	lostEndpoint := active.sentTo[len(active.sentTo)-1]
 	_ = r.body.Close()
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -220,8 +220,8 @@
 			}
 		}
 		if result.body == nil && reply.Body != nil {
-			if active.route.Resumable && reply.Streamed && reply.Status < 300 {
-				reply.Body = newResumableStream(ctx, active, reply, result.target)
+			if active.hasEvents(reply) {
+				reply.Body = newEventStream(ctx, active, reply, result.target)
 			}
 			return Answered{Status: reply.Status, Header: reply.Header, Stream: reply.Body}
 		}
@@ -303,10 +303,15 @@
 	active.results <- attemptResult{number: number, target: target, reply: reply, body: body, notified: notified}
 }
 
+// hasEvents reports whether an answer consists of events that are forwarded one by one.
+func (active *activeRequest) hasEvents(answer Answer) bool {
+	return active.route.Kind == routes.Streaming && answer.Streamed && answer.Status < 300
+}
+
 // onStreamData returns what is called when an answer that is forwarded while it is read has
-// brought bytes. The events of a stream that can be resumed are counted where they are read.
+// brought bytes. Events are counted where they are read.
 func (active *activeRequest) onStreamData(answer Answer) func() {
-	if active.route.Kind != routes.Streaming || active.route.Resumable && answer.Streamed {
+	if active.route.Kind != routes.Streaming || active.hasEvents(answer) {
 		return func() {}
 	}
 	return active.usage.firstEvent
