fix(batch): an endpoint that closes before its first event doesn't complete a text

In a batch such an item was listed as completed with a part of its text, or with none.

Cause: a run was complete once its body had ended, also if no event had come and the end was not stated, or if the body was no event stream at all, such as an empty text.

Evidence: without the change to run.go, "next endpoint closes at once", "next endpoint sends an empty text", "first endpoint closes at once" and "first endpoint sends no event" of TestErrorTextWithinItem fail with the texts "e0\ne1" and "".

Change: only an event stream may complete an item. Without a single event of a run, its end counts only if it is stated and events came before it: the break may have come after the last event ("end confirmed by the next endpoint" passes before and after).

Tests: an engine of late_test.go did not say that it answers with an event stream; it does now, like the other engines.

--- a/batch/late_test.go
+++ b/batch/late_test.go
@@ -269,7 +269,7 @@
 // oneEvent answers an item with a stream of one event. It ends well for items whose name
 // begins with "ok" or that need a score, else it breaks.
 func oneEvent(request relay.Request) relay.Reply {
-	return relay.Answer{Status: 200, Body: io.NopCloser(strings.NewReader(fmt.Sprint(request.ID, " ", request.LastEventID+1))), Signed: true, Version: 1}
+	return relay.Answer{Status: 200, Body: io.NopCloser(strings.NewReader(fmt.Sprint(request.ID, " ", request.LastEventID+1))), Signed: true, Streamed: true, Version: 1}
 }
 
 func (e *lateEngine) ReadEvents(body io.Reader, emit func(Event) error) error {
--- a/batch/run.go
+++ b/batch/run.go
@@ -67,6 +67,8 @@
 	errOtherSoftware  = errors.New("endpoint software differs from the one that wrote the partial output")
 	errEventGap       = errors.New("event missing or duplicated")
 	errUnsignedStream = errors.New("response is not signed")
+	errNoStream       = errors.New("response is no event stream")
+	errNoEvent        = errors.New("response ended without an event")
 	errTextTooLong    = errors.New("text is too long to be stored")
 )
 
@@ -378,11 +380,19 @@
 	if !answer.Signed {
 		return reply, errUnsignedStream
 	}
+	if !answer.Streamed {
+		return reply, errNoStream
+	}
 	reader := &streamReader{keeper: k, job: j, item: i, run: r, version: answer.Version, textBytes: textBytes, watchdog: watchdog, stallTimeout: stallTimeout << stalls}
 	if err := reader.checkVersion(answer.Version); err != nil {
 		return reply, err
 	}
-	return reply, k.deps.Engine.ReadEvents(answer.Body, reader.recordEvent)
+	err := k.deps.Engine.ReadEvents(answer.Body, reader.recordEvent)
+	if err == nil && reader.lastEventAt.IsZero() && (answer.Unframed || last < 0) {
+		// The text is complete without further events only if the endpoint states that.
+		err = errNoEvent
+	}
+	return reply, err
 }
 
 // streamReader is the state of reading one stream.
