feat(relay): a log line for each stream that broke off

A caller's stream that breaks off and isn't resumed left no trace: an answer had been given, so the request counted as answered, and the answers of the endpoints that were asked to go on were dropped without a line.

stream_broken (412) names the endpoints, the last event and the cause, unless the caller has left; attempt_failed (840) also comes for each answer that doesn't go on with a stream. TestBrokenStreamLeavesNoTrace fails without the change.

--- a/event/event.go
+++ b/event/event.go
@@ -54,6 +54,7 @@
 	RequestCleared        = define(409, "request_cleared", zapcore.InfoLevel)
 	StreamOriginUnknown   = define(410, "stream_origin_unknown", zapcore.WarnLevel)
 	StreamOriginNotSent   = define(411, "stream_origin_not_sent", zapcore.InfoLevel)
+	StreamBroken          = define(412, "stream_broken", zapcore.WarnLevel)
 
 	EndpointReady   = define(500, "endpoint_ready", zapcore.InfoLevel)
 	EndpointDown    = define(501, "endpoint_down", zapcore.WarnLevel)
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -39,6 +39,7 @@
 	errEventGap       = errors.New("stream goes on with another event than the next one")
 	errEventNoID      = errors.New("stream holds an event without an ID")
 	errNoEvent        = errors.New("endpoint ended the stream without an event")
+	errNoResumption   = errors.New("answer doesn't go on with the stream")
 	errNoEventField   = errors.New("stream holds bytes that belong to no event")
 )
 
@@ -92,6 +93,7 @@
 			r.err = io.EOF
 		default:
 			r.err = r.resume(err)
+			r.logBroken()
 		}
 	}
 	n := copy(buffer, r.pending)
@@ -99,6 +101,15 @@
 	return n, nil
 }
 
+// logBroken logs that the stream broke off, unless the caller has left.
+func (r *eventStream) logBroken() {
+	if r.err == nil || errors.Is(r.ctx.Err(), context.Canceled) {
+		return
+	}
+	event.StreamBroken.Log(r.active.logger, zap.String("request", r.active.request.ID), zap.String("service", r.active.service),
+		zap.Strings("endpoints", r.active.sentTo), zap.Int("after", r.lastID), zap.Error(r.err))
+}
+
 // Close closes the connection to the current endpoint.
 func (r *eventStream) Close() error { return r.body.Close() }
 
@@ -220,14 +231,26 @@
 				zap.Int("after", r.lastID), zap.Error(cause))
 			return nil
 		}
-		if ok && answer.Body != nil {
-			_ = answer.Body.Close()
-		}
-		if refused, ok := result.reply.(NotRun); ok {
-			active.attempts.RecordNotRun(result.target.ID(), refused)
-		} else {
-			active.attempts.RecordLost(result.target.ID())
-		}
+		r.recordRejected(result)
 	}
 	return fmt.Errorf("stream ended after event %d and was not resumed: %w", r.lastID, cause)
 }
+
+// recordRejected records an attempt that does not go on with the stream, and why.
+func (r *eventStream) recordRejected(result attemptResult) {
+	active, cause := r.active, causeOf(result.reply)
+	switch reply := result.reply.(type) {
+	case NotRun:
+		active.attempts.RecordNotRun(result.target.ID(), reply)
+	case Answer:
+		if reply.Body != nil {
+			_ = reply.Body.Close()
+		}
+		cause = fmt.Errorf("%w: status %d, stream %t, weight version %d", errNoResumption, reply.Status, reply.Streamed, reply.Version)
+		active.attempts.RecordLost(result.target.ID())
+	case Lost:
+		active.attempts.RecordLost(result.target.ID())
+	}
+	event.AttemptFailed.Log(active.logger, zap.String("request", active.request.ID), zap.String("endpoint", result.target.ID()),
+		zap.Int("sent", active.attempts.Sent), zap.Bool("may_have_run", active.attempts.MayHaveRun), zap.Error(cause))
+}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/routes"
 )
@@ -184,3 +187,23 @@
 		})
 	}
 }
+
+// TestBrokenStreamLeavesNoTrace checks that the log tells why a stream was not resumed.
+func TestBrokenStreamLeavesNoTrace(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	outcome, _ := serveLogged(t.Context(), zap.New(core), routes.Streaming, streamOf(1, eventsOf(0, 2)+"overloaded\n\n", false), answer(404, "gone"))
+	answered, ok := outcome.(Answered)
+	if !ok {
+		t.Fatalf("got %#v", outcome)
+	}
+	defer answered.Stream.Close()
+	if _, err := io.ReadAll(answered.Stream); err == nil {
+		t.Error("the stream ended as complete")
+	}
+	for message, want := range map[string]error{"stream_broken": errNoEventField, "attempt_failed": errNoResumption} {
+		lines := logs.FilterMessage(message).All()
+		if len(lines) == 0 || !strings.Contains(fmt.Sprint(lines[0].ContextMap()["error"]), want.Error()) {
+			t.Errorf("log lines %s are %v, want one with %q", message, lines, want)
+		}
+	}
+}
