test(detour): an answer through a host that stops doesn't look complete

Can't happen here: a connection through another host ends properly only if that host reports the endpoint's own end. The new case of TestBrokenAnswerLooksComplete passes on the code as it was, three times with the race detector.

--- a/detour/tunnel_test.go
+++ b/detour/tunnel_test.go
@@ -37,9 +37,11 @@
 // detourFixture is a host that connects to an endpoint through another one, whose process
 // can be suspended for a while as its clock sees it.
 type detourFixture struct {
-	dialer    *Dialer
-	path      reach.Path
-	accepted  chan net.Conn
+	dialer   *Dialer
+	path     reach.Path
+	accepted chan net.Conn
+	// stopHost closes the other host's listener and connections.
+	stopHost  func() error
 	suspended atomic.Int64
 	leaving   atomic.Bool
 }
@@ -72,6 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	f.stopHost = b.Close
 	pool := peers.NewPool()
 	t.Cleanup(func() {
 		pool.Close()
@@ -117,11 +120,12 @@
 // proper end may look like one through the other host.
 func TestBrokenAnswerLooksComplete(t *testing.T) {
 	for name, tc := range map[string]struct {
-		end  func(t *testing.T, endpoint net.Conn)
+		end  func(t *testing.T, f *detourFixture, endpoint net.Conn)
 		want error
 	}{
-		"closed": {func(_ *testing.T, endpoint net.Conn) { _ = endpoint.Close() }, io.EOF},
-		"reset": {func(t *testing.T, endpoint net.Conn) {
+		"closed":           {func(_ *testing.T, _ *detourFixture, endpoint net.Conn) { _ = endpoint.Close() }, io.EOF},
+		"other host stops": {func(_ *testing.T, f *detourFixture, _ net.Conn) { _ = f.stopHost() }, io.ErrUnexpectedEOF},
+		"reset": {func(t *testing.T, _ *detourFixture, endpoint net.Conn) {
 			tcp, ok := endpoint.(*net.TCPConn)
 			if !ok {
 				t.Fatalf("accepted a %T", endpoint)
@@ -138,7 +142,7 @@
 			checkReads(t, endpoint, "question")
 			mustWrite(t, endpoint, "answer")
 			checkReads(t, caller, "answer")
-			tc.end(t, endpoint)
+			tc.end(t, f, endpoint)
 			if _, err := caller.Read(make([]byte, 1)); !errors.Is(err, tc.want) {
 				t.Errorf("reading ends with %v, want %v", err, tc.want)
 			}
