test(integ): an error's text within streams of real processes

The stand-in engine can end its streams with the text of an error after some events. Two hosts serve six streams and a batch of three items from such engines: callers and texts must get all events and nothing else.

With the relay, platform and batch code of the test fails: the streams of two or more remaining events end as complete with "internal error".

--- a/integ/batch_test.go
+++ b/integ/batch_test.go
@@ -251,6 +251,23 @@
 	}
 }
 
+// TestEdgeErrorTextWithinStream lets the engines end each stream with the text of an error
+// after an event: neither the callers' streams nor the texts of items may hold it.
+func TestEdgeErrorTextWithinStream(t *testing.T) {
+	s := newSite(t, 2, siteTimeout)
+	for _, e := range s.engines {
+		e.ErrorAfter(2)
+	}
+	s.submitUntilAccepted("b1", newBatchBody("b1", 1, 1))
+	for i := range 6 {
+		id := fmt.Sprint("talk-", i)
+		status, body := s.send(http.MethodPost, s.hosts[i%2].callerAddress, streamPath+"x", id, []byte("x"))
+		checkStatus(t, "a stream", status, http.StatusOK)
+		checkStream(t, id, body)
+	}
+	s.readComplete("b1", newResultHistory(), 3, 1)
+}
+
 // checkStream compares a complete stream with the expected events of a request.
 func checkStream(t testing.TB, id string, body []byte) {
 	t.Helper()
