fix(relay): a stream doesn't go on at the endpoint that broke it off

A stream whose first event was slow, so that a second endpoint had been asked too, broke off and went on at the endpoint that had broken it off, though others were free; the log named the second endpoint as the one that was lost.

Cause: the endpoint of the last attempt was excluded, not that of the stream.

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -213,7 +213,7 @@
 // It returns an error if that is not possible.
 func (r *eventStream) resume(cause error) error {
 	active := r.active
-	lostEndpoint := active.sentTo[len(active.sentTo)-1]
+	lostEndpoint := r.target.ID()
 	_ = r.body.Close()
 	active.attempts.RecordLost(lostEndpoint)
 	active.request.LastEventID = r.lastID
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -188,6 +188,30 @@
 	}
 }
 
+// TestHedgeIsTakenForTheBrokenEndpoint lets the first of two attempts bring a stream that
+// breaks off: it must not go on at the endpoint that broke it off, whose attempt was not the
+// last one.
+func TestHedgeIsTakenForTheBrokenEndpoint(t *testing.T) {
+	for range 8 {
+		outcome, sender := serve(t.Context(), routes.Streaming,
+			delayed(120*time.Millisecond, streamOf(1, eventsOf(0, 2), true)), hang, streamOf(1, eventsOf(2, 4), false))
+		answered, ok := outcome.(Answered)
+		if !ok {
+			t.Fatalf("got %#v", outcome)
+		}
+		text, err := io.ReadAll(answered.Stream)
+		check.Equal(t, "the stream", string(text), eventsOf(0, 4))
+		check.Equal(t, "its end", err, nil)
+		// An error means that the answer has ended.
+		_ = answered.Stream.Close()
+		sender.mu.Lock()
+		if sender.sent[2] == sender.sent[0] {
+			t.Errorf("the stream goes on at the endpoint that broke it off; sent to %v", sender.sent)
+		}
+		sender.mu.Unlock()
+	}
+}
+
 // TestBrokenStreamLeavesNoTrace checks that the log tells why a stream was not resumed.
 func TestBrokenStreamLeavesNoTrace(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
