fix(relay): a stream goes on with the weight version that it has come to

A stream whose weights changed on the way, with the new version at the event, broke off and went on at an endpoint with the old weights, with nothing in the answer to show it; an endpoint with the new ones was refused.

Cause: the endpoint that goes on had to have the version in the head of the first answer. The version that an event states was not read.

Evidence: "version that has changed within the stream" of TestStreamIsResumed fails without the change.

Change: the version of the last whole event counts. Not covered: a caller that resumes a stream states no version, so that its answer may come from another one, which its head names.

--- a/relay/resume.go
+++ b/relay/resume.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,9 +50,10 @@
 // It is designed for endpoints that crash, are released or reset connections in
 // the middle of streams while others of the service have free slots.
 type eventStream struct {
-	ctx     context.Context
-	active  *activeRequest
-	target  fleet.Target
+	ctx    context.Context
+	active *activeRequest
+	target fleet.Target
+	// version is the weight version of the last event, 0 if it was not stated.
 	version int
 	body    io.ReadCloser
 	// unframed reports whether the end of the body is not stated.
@@ -128,7 +128,7 @@
 // event or sends anything else than events.
 func (r *eventStream) next() ([]byte, error) {
 	var eventBytes []byte
-	id, lineStart, inEvent := noEventID, 0, false
+	id, version, lineStart, inEvent := noEventID, r.version, 0, false
 	if r.started && r.active.route.Resumable {
 		// Closing the body unblocks a waiting read.
 		body := r.body
@@ -158,24 +158,25 @@
 		line = bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(line) == 0 && inEvent:
-			return eventBytes, r.eventRead(id)
+			return eventBytes, r.eventRead(id, version)
 		case len(line) == 0 || line[0] == ':':
 			continue
 		case !IsEventField(line):
 			return nil, errNoEventField
 		}
 		inEvent = true
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			if n, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
-				id = n
-			}
+		if n, ok := intField(line, idField); ok {
+			id = n
+		}
+		if n, ok := intField(line, VersionField); ok {
+			version = n
 		}
 	}
 }
 
 // eventRead records that a complete event was read. It returns an error if the event can't be
 // the next one of the stream.
-func (r *eventStream) eventRead(id int) error {
+func (r *eventStream) eventRead(id, version int) error {
 	switch {
 	case id == noEventID:
 		return errEventNoID
@@ -188,7 +189,7 @@
 	if r.started {
 		r.active.fleet.RecordEventInterval(r.target.ID(), now.Sub(r.eventAt))
 	}
-	r.lastID, r.started, r.eventAt = id, true, now
+	r.lastID, r.version, r.started, r.eventAt = id, version, true, now
 	r.active.pinStarted(r.target)
 	r.active.usage.firstEvent()
 	return nil
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -126,6 +126,15 @@
 			[]int{-1, 1, 1},
 			eventsOf(0, 2), false,
 		},
+		{
+			"version that has changed within the stream", routes.Streaming,
+			steps{
+				streamOf(1, eventsOf(0, 1)+"weight-versions: 2\n"+eventsOf(1, 2), true),
+				streamOf(1, eventsOf(2, 4), false), streamOf(2, eventsOf(2, 4), false),
+			},
+			[]int{-1, 1, 1},
+			eventsOf(0, 1) + "weight-versions: 2\n" + eventsOf(1, 4), true,
+		},
 		{
 			"late result of an earlier attempt is dropped", routes.Streaming,
 			steps{
