fix(engine): an end before the last token doesn't complete a stream

An answer {"done":true} to a resumption after one token ended the response as complete.

Cause: the position of the last chunk was only checked for missing tokens.

Evidence: "an earlier end" of TestRelay fails without the change.

Change: a last chunk that ends before the tokens already relayed is an error, as missing tokens are.

Ruled out by the same test, before and after: a resumption that is answered with 500, 429, a text, the head of an answer, a JSON error, an unknown object or nothing; none of it reaches the response, which ends as lost.

--- a/engine/relay.go
+++ b/engine/relay.go
@@ -206,7 +206,7 @@
 		}
 		chunk, ok := r.trim(chunk)
 		if !ok {
-			return &OutcomeUnknownError{cause: fmt.Errorf("tokens are missing: got %d, want %d", chunk.First, r.nextToken)}
+			return &OutcomeUnknownError{cause: fmt.Errorf("tokens are missing: got %d to %d, want %d", chunk.First, chunk.First+len(chunk.Tokens), r.nextToken)}
 		}
 		if len(chunk.Tokens) == 0 && !chunk.Done {
 			continue
@@ -227,9 +227,9 @@
 }
 
 // trim drops tokens that were already relayed. It returns false if tokens are
-// missing before the chunk.
+// missing before the chunk, or if the stream would end before the last one relayed.
 func (r *Relay) trim(chunk Chunk) (Chunk, bool) {
-	if chunk.First > r.nextToken {
+	if chunk.First > r.nextToken || chunk.Done && chunk.First+len(chunk.Tokens) < r.nextToken {
 		return chunk, false
 	}
 	repeated := min(r.nextToken-chunk.First, len(chunk.Tokens))
--- a/engine/relay_test.go
+++ b/engine/relay_test.go
@@ -86,6 +86,22 @@
 		"truncated, no such stream on resume":     {start: respondWith(firstToken), resume: http.NotFound, reason: EndLost, text: "a"},
 		"truncated, each resume has a gap":        {start: respondWith(firstToken), resume: respondWith(`{"first":5,"tokens":["z"],"done":true}`), reason: EndLost, text: "a"},
 	}
+	for name, resume := range map[string]http.HandlerFunc{
+		"an error": func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "overloaded", http.StatusInternalServerError)
+		},
+		"a refusal":          reject,
+		"a text":             respondWith("overloaded"),
+		"the head of a text": respondWith("HTTP/1.1 500 Internal Server Error", "", "overloaded"),
+		"an error's text":    respondWith(`{"error":"overloaded"}`),
+		"an unknown object":  respondWith(`{"status":500,"message":"overloaded"}`),
+		"an earlier end":     respondWith(`{"done":true}`),
+		"nothing":            respondWith(),
+	} {
+		c := cases["truncated, no such stream on resume"]
+		c.resume = resume
+		cases["truncated, "+name+" on resume"] = c
+	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			server := newFakeEngine(c.start, c.resume)
