test(relay): a seed for an error page within an event

The new seed has the page within a cut event. Tried on scratch copies: without the field check this seed fails, without the check for repeated IDs all three seeds with two endpoints' events do; the code as it is passes.

--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -42,6 +42,7 @@
 func FuzzEventStream(f *testing.F) {
 	f.Add(eventsOf(0, 2)+"id: 2\nda", eventsOf(2, 4))
 	f.Add(eventsOf(0, 2)+"HTTP/1.1 500 Error\r\n\r\noverloaded\n\n", ": a\n\n"+eventsOf(2, 3))
+	f.Add(eventsOf(0, 2)+"id: 2\ndaHTTP/1.1 500 Error\r\n\r\noverloaded\n\n", eventsOf(2, 4))
 	f.Add("weight-versions: 1\n"+eventsOf(1, 2)+"data\nid: 2\r\n\r\n", "id: x\n\n\n\n")
 	f.Fuzz(func(t *testing.T, first, second string) {
 		outcome, _ := serve(t.Context(), routes.Streaming, streamOf(1, first, false), streamOf(1, second, true))
