--- a/relay/resume.go
+++ b/relay/resume.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,9 +16,10 @@
 )
 
 const (
-	// maxEventBytes limits the size of one event of a resumable stream.
+	// maxEventBytes limits the size of one event of a stream.
 	maxEventBytes = 1 << 20
-	// stallTimeout is how long a started stream may go without a complete event.
+	// stallTimeout is how long a started stream that can be resumed may go without a
+	// complete event.
 	// It lies between the 0.3 s from one event of a slow endpoint to the next and
 	// the two seconds after which callers disconnect.
 	stallTimeout = 1200 * time.Millisecond
@@ -28,30 +28,37 @@
 	// the target latency.
 	maxStallTimeout   = 1900 * time.Millisecond
 	maxStallLatencies = 4
-	// noEventID is the ID of a stream element without one, such as a comment.
+	// noEventID is the ID of an event without one.
 	noEventID = -1
 )
 
 var (
 	errEventTooLong   = errors.New("stream event exceeds the size limit")
 	errDuplicateEvent = errors.New("stream repeats an event that was already received")
+	errEventGap       = errors.New("stream goes on with another event than the next one")
+	errEventNoID      = errors.New("stream holds an event without an ID")
+	errNoEvent        = errors.New("endpoint ended the stream without an event")
+	errNoResumption   = errors.New("answer doesn't go on with the stream")
+	errNoEventField   = errors.New("stream holds bytes that belong to no event")
 )
 
-// resumableStream is an event stream that is resumed on another endpoint when
-// its connection breaks. It forwards only complete events, so that a resumed
-// stream starts at an event boundary.
+// eventStream is the event stream of a successful answer. It forwards only complete events.
+// If the route allows, it is resumed on another endpoint when its connection breaks.
 //
 // Only endpoints with the software that sent the first event continue the stream.
 //
 // It is designed for endpoints that crash, are released or reset connections in
 // the middle of streams while others of the service have free slots.
-type resumableStream struct {
-	ctx     context.Context
-	active  *activeRequest
-	target  fleet.Target
+type eventStream struct {
+	ctx    context.Context
+	active *activeRequest
+	target fleet.Target
+	// version is the weight version of the last event, 0 if it was not stated.
 	version int
 	body    io.ReadCloser
-	reader  *bufio.Reader
+	// unframed reports whether the end of the body is not stated.
+	unframed bool
+	reader   *bufio.Reader
 	// pending holds bytes of complete events that Read has not returned yet; lastID
 	// is the highest event ID read so far.
 	pending []byte
@@ -65,15 +72,15 @@
 	err     error
 }
 
-func newResumableStream(ctx context.Context, active *activeRequest, answer Answer, target fleet.Target) *resumableStream {
-	return &resumableStream{
-		ctx: ctx, active: active, target: target, version: answer.Version, body: answer.Body,
+func newEventStream(ctx context.Context, active *activeRequest, answer Answer, target fleet.Target) *eventStream {
+	return &eventStream{
+		ctx: ctx, active: active, target: target, version: answer.Version, body: answer.Body, unframed: answer.Unframed,
 		reader: bufio.NewReader(answer.Body), lastID: active.request.LastEventID,
 	}
 }
 
-// Read returns bytes of complete events and resumes a broken stream.
-func (r *resumableStream) Read(buffer []byte) (int, error) {
+// Read returns bytes of complete events. It resumes a broken stream if it can.
+func (r *eventStream) Read(buffer []byte) (int, error) {
 	for len(r.pending) == 0 {
 		if r.err != nil {
 			return 0, r.err
@@ -86,6 +93,7 @@
 			r.err = io.EOF
 		default:
 			r.err = r.resume(err)
+			r.logBroken()
 		}
 	}
 	n := copy(buffer, r.pending)
@@ -93,12 +101,21 @@
 	return n, nil
 }
 
+// logBroken logs that the stream broke off, unless the caller has left.
+func (r *eventStream) logBroken() {
+	if r.err == nil || errors.Is(r.ctx.Err(), context.Canceled) {
+		return
+	}
+	event.StreamBroken.Log(r.active.logger, zap.String("request", r.active.request.ID), zap.String("service", r.active.service),
+		zap.Strings("endpoints", r.active.sentTo), zap.Int("after", r.lastID), zap.Error(r.err))
+}
+
 // Close closes the connection to the current endpoint.
-func (r *resumableStream) Close() error { return r.body.Close() }
+func (r *eventStream) Close() error { return r.body.Close() }
 
 // stallLimit returns how long the next event may take. It is longer once the stream has
 // stalled: an endpoint's usual interval is not known before two of its events.
-func (r *resumableStream) stallLimit() time.Duration {
+func (r *eventStream) stallLimit() time.Duration {
 	longest := max(maxStallTimeout, maxStallLatencies*r.active.route.TargetLatency)
 	if r.resumed {
 		return longest
@@ -106,13 +123,13 @@
 	return r.active.fleet.StallLimit(r.target.ID(), stallTimeout, longest)
 }
 
-// next reads one event. It returns io.EOF if the stream ended after a complete
-// event, and another error if the event repeats one or is too long, or if the
-// endpoint stalls or disconnects.
-func (r *resumableStream) next() ([]byte, error) {
+// next reads one event, with the comments before it. It returns io.EOF if the stream ended
+// after a complete event, and another error if the endpoint stalls, disconnects, repeats an
+// event or sends anything else than events.
+func (r *eventStream) next() ([]byte, error) {
 	var eventBytes []byte
-	id, empty := noEventID, true
-	if r.started {
+	id, version, lineStart, inEvent := noEventID, r.version, 0, false
+	if r.started && r.active.route.Resumable {
 		// Closing the body unblocks a waiting read.
 		body := r.body
 		watchdog := time.AfterFunc(r.stallLimit(), func() { _ = body.Close() })
@@ -121,40 +138,63 @@
 	for {
 		chunk, err := r.reader.ReadSlice('\n')
 		eventBytes = append(eventBytes, chunk...)
+		line := eventBytes[lineStart:]
 		switch {
 		case len(eventBytes) > maxEventBytes:
 			return nil, errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(eventBytes)) > 0:
+		case errors.Is(err, io.EOF) && (inEvent || len(bytes.TrimSpace(line)) > 0):
 			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF) && !r.started && (r.unframed || r.lastID < 0):
+			return nil, errNoEvent
+		case errors.Is(err, io.EOF) && r.started && len(eventBytes) > 0:
+			// Only comments follow the last event.
+			return eventBytes, nil
 		case err != nil:
 			return nil, err
 		}
-		line := bytes.TrimRight(chunk, "\r\n")
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			if n, err := strconv.Atoi(string(bytes.TrimSpace(value))); err == nil {
-				id = n
-			}
+		lineStart = len(eventBytes)
+		line = bytes.TrimRight(line, "\r\n")
+		switch {
+		case len(line) == 0 && inEvent:
+			return eventBytes, r.eventRead(id, version)
+		case len(line) == 0 || line[0] == ':':
+			continue
+		case !IsEventField(line):
+			return nil, errNoEventField
 		}
-		if len(line) > 0 {
-			empty = false
+		inEvent = true
+		if n, ok := intField(line, idField); ok {
+			id = n
 		}
-		if len(line) == 0 && !empty {
-			if id <= r.lastID && id != noEventID {
-				return nil, errDuplicateEvent
-			}
-			if now := time.Now(); r.started {
-				r.active.fleet.RecordEventInterval(r.target.ID(), now.Sub(r.eventAt))
-			}
-			r.lastID, r.started, r.eventAt = max(r.lastID, id), true, time.Now()
-			r.active.pinStarted(r.target)
-			r.active.usage.firstEvent()
-			return eventBytes, nil
+		if n, ok := intField(line, VersionField); ok {
+			version = n
 		}
 	}
 }
 
+// eventRead records that a complete event was read. It returns an error if the event can't be
+// the next one of the stream.
+func (r *eventStream) eventRead(id, version int) error {
+	switch {
+	case id == noEventID:
+		return errEventNoID
+	case id <= r.lastID:
+		return errDuplicateEvent
+	case !r.started && r.lastID >= 0 && id > r.lastID+1:
+		return errEventGap
+	}
+	now := time.Now()
+	if r.started {
+		r.active.fleet.RecordEventInterval(r.target.ID(), now.Sub(r.eventAt))
+	}
+	r.lastID, r.version, r.started, r.eventAt = id, version, true, now
+	r.active.pinStarted(r.target)
+	r.active.usage.firstEvent()
+	return nil
+}
+
 // awaitResult waits for the result of the attempt with the given number. Results
 // of other attempts, which started before the stream did, are dropped.
 func (active *activeRequest) awaitResult(number int) attemptResult {
@@ -172,9 +212,9 @@
 
 // resume continues the stream on another endpoint after the last complete event.
 // It returns an error if that is not possible.
-func (r *resumableStream) resume(cause error) error {
+func (r *eventStream) resume(cause error) error {
 	active := r.active
-	lostEndpoint := active.sentTo[len(active.sentTo)-1]
+	lostEndpoint := r.target.ID()
 	_ = r.body.Close()
 	active.attempts.RecordLost(lostEndpoint)
 	active.request.LastEventID = r.lastID
@@ -185,21 +225,33 @@
 		result := active.awaitResult(active.attempts.Sent)
 		answer, ok := result.reply.(Answer)
 		if ok && answer.Status == 200 && answer.Streamed && answer.Signed && answer.Version == r.version {
-			r.body, r.target, r.started, r.resumed = answer.Body, result.target, false, true
+			r.body, r.unframed, r.target, r.started, r.resumed = answer.Body, answer.Unframed, result.target, false, true
 			r.reader.Reset(answer.Body)
 			event.StreamResumed.Log(active.logger, zap.String("request", active.request.ID), zap.String("from", lostEndpoint),
 				zap.String("endpoint", result.target.ID()), zap.String("software", string(result.target.Software())),
 				zap.Int("after", r.lastID), zap.Error(cause))
 			return nil
 		}
-		if ok && answer.Body != nil {
-			_ = answer.Body.Close()
-		}
-		if refused, ok := result.reply.(NotRun); ok {
-			active.attempts.RecordNotRun(result.target.ID(), refused)
-		} else {
-			active.attempts.RecordLost(result.target.ID())
-		}
+		r.recordRejected(result)
 	}
 	return fmt.Errorf("stream ended after event %d and was not resumed: %w", r.lastID, cause)
 }
+
+// recordRejected records an attempt that does not go on with the stream, and why.
+func (r *eventStream) recordRejected(result attemptResult) {
+	active, cause := r.active, causeOf(result.reply)
+	switch reply := result.reply.(type) {
+	case NotRun:
+		active.attempts.RecordNotRun(result.target.ID(), reply)
+	case Answer:
+		if reply.Body != nil {
+			_ = reply.Body.Close()
+		}
+		cause = fmt.Errorf("%w: status %d, stream %t, weight version %d", errNoResumption, reply.Status, reply.Streamed, reply.Version)
+		active.attempts.RecordLost(result.target.ID())
+	case Lost:
+		active.attempts.RecordLost(result.target.ID())
+	}
+	event.AttemptFailed.Log(active.logger, zap.String("request", active.request.ID), zap.String("endpoint", result.target.ID()),
+		zap.Int("sent", active.attempts.Sent), zap.Bool("may_have_run", active.attempts.MayHaveRun), zap.Error(cause))
+}
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/routes"
 )
@@ -63,6 +66,7 @@
 
 func TestStreamIsResumed(t *testing.T) {
 	const cut = "id: 2\nda"
+	longEvent := "id: 0\ndata: " + strings.Repeat("a", 4<<10-len("data: ")) + "\n\n"
 	type steps = []func(context.Context) Reply
 	for _, tc := range []struct {
 		name  string
@@ -122,6 +126,15 @@
 			[]int{-1, 1, 1},
 			eventsOf(0, 2), false,
 		},
+		{
+			"version that has changed within the stream", routes.Streaming,
+			steps{
+				streamOf(1, eventsOf(0, 1)+"weight-versions: 2\n"+eventsOf(1, 2), true),
+				streamOf(1, eventsOf(2, 4), false), streamOf(2, eventsOf(2, 4), false),
+			},
+			[]int{-1, 1, 1},
+			eventsOf(0, 1) + "weight-versions: 2\n" + eventsOf(1, 4), true,
+		},
 		{
 			"late result of an earlier attempt is dropped", routes.Streaming,
 			steps{
@@ -132,6 +145,30 @@
 			[]int{-1, -1, 1},
 			eventsOf(0, 4), true,
 		},
+		{
+			"broken after a line as long as the read buffer", routes.Streaming,
+			steps{streamOf(1, longEvent[:len(longEvent)-1], true), streamOf(1, longEvent+eventsOf(1, 3), false)},
+			[]int{-1, -1},
+			longEvent + eventsOf(1, 3), true,
+		},
+		{
+			"error text after an event", routes.Streaming,
+			steps{streamOf(1, eventsOf(0, 2)+"overloaded\n\n", false), streamOf(1, eventsOf(2, 4), false)},
+			[]int{-1, 1},
+			eventsOf(0, 4), true,
+		},
+		{
+			"endpoint that goes on after a later event is skipped", routes.Streaming,
+			steps{streamOf(1, eventsOf(0, 2), true), streamOf(1, eventsOf(3, 4), false), streamOf(1, eventsOf(2, 4), false)},
+			[]int{-1, 1, 1},
+			eventsOf(0, 4), true,
+		},
+		{
+			"comments between events", routes.Streaming,
+			steps{streamOf(1, ": a\n\n"+eventsOf(0, 2)+": b\n\n"+eventsOf(2, 4)+": c\n\n", false)},
+			[]int{-1},
+			": a\n\n" + eventsOf(0, 2) + ": b\n\n" + eventsOf(2, 4) + ": c\n\n", true,
+		},
 		{
 			"route that is not resumable", routes.NonIdempotent,
 			steps{streamOf(1, eventsOf(0, 2)+cut, true)},
@@ -159,3 +196,47 @@
 		})
 	}
 }
+
+// TestHedgeIsTakenForTheBrokenEndpoint lets the first of two attempts bring a stream that
+// breaks off: it must not go on at the endpoint that broke it off, whose attempt was not the
+// last one.
+func TestHedgeIsTakenForTheBrokenEndpoint(t *testing.T) {
+	for range 8 {
+		outcome, sender := serve(t.Context(), routes.Streaming,
+			delayed(120*time.Millisecond, streamOf(1, eventsOf(0, 2), true)), hang, streamOf(1, eventsOf(2, 4), false))
+		answered, ok := outcome.(Answered)
+		if !ok {
+			t.Fatalf("got %#v", outcome)
+		}
+		text, err := io.ReadAll(answered.Stream)
+		check.Equal(t, "the stream", string(text), eventsOf(0, 4))
+		check.Equal(t, "its end", err, nil)
+		// An error means that the answer has ended.
+		_ = answered.Stream.Close()
+		sender.mu.Lock()
+		if sender.sent[2] == sender.sent[0] {
+			t.Errorf("the stream goes on at the endpoint that broke it off; sent to %v", sender.sent)
+		}
+		sender.mu.Unlock()
+	}
+}
+
+// TestBrokenStreamLeavesNoTrace checks that the log tells why a stream was not resumed.
+func TestBrokenStreamLeavesNoTrace(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	outcome, _ := serveLogged(t.Context(), zap.New(core), routes.Streaming, streamOf(1, eventsOf(0, 2)+"overloaded\n\n", false), answer(404, "gone"))
+	answered, ok := outcome.(Answered)
+	if !ok {
+		t.Fatalf("got %#v", outcome)
+	}
+	defer answered.Stream.Close()
+	if _, err := io.ReadAll(answered.Stream); err == nil {
+		t.Error("the stream ended as complete")
+	}
+	for message, want := range map[string]error{"stream_broken": errNoEventField, "attempt_failed": errNoResumption} {
+		lines := logs.FilterMessage(message).All()
+		if len(lines) == 0 || !strings.Contains(fmt.Sprint(lines[0].ContextMap()["error"]), want.Error()) {
+			t.Errorf("log lines %s are %v, want one with %q", message, lines, want)
+		}
+	}
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -220,8 +220,8 @@
 			}
 		}
 		if result.body == nil && reply.Body != nil {
-			if active.route.Resumable && reply.Streamed {
-				reply.Body = newResumableStream(ctx, active, reply, result.target)
+			if active.hasEvents(reply) {
+				reply.Body = newEventStream(ctx, active, reply, result.target)
 			}
 			return Answered{Status: reply.Status, Header: reply.Header, Stream: reply.Body}
 		}
@@ -303,10 +303,15 @@
 	active.results <- attemptResult{number: number, target: target, reply: reply, body: body, notified: notified}
 }
 
+// hasEvents reports whether an answer consists of events that are forwarded one by one.
+func (active *activeRequest) hasEvents(answer Answer) bool {
+	return active.route.Kind == routes.Streaming && answer.Streamed && answer.Status < 300
+}
+
 // onStreamData returns what is called when an answer that is forwarded while it is read has
-// brought bytes. The events of a stream that can be resumed are counted where they are read.
+// brought bytes. Events are counted where they are read.
 func (active *activeRequest) onStreamData(answer Answer) func() {
-	if active.route.Kind != routes.Streaming || active.route.Resumable && answer.Streamed {
+	if active.route.Kind != routes.Streaming || active.hasEvents(answer) {
 		return func() {}
 	}
 	return active.usage.firstEvent
@@ -330,16 +335,16 @@
 	}
 }
 
-// bufferShortAnswer reads a short answer into memory; the body of a long or
-// streamed one stays unread. It returns Lost for a successful answer without a
-// signature, for one that ends early, and for one that turns out to be too
-// long.
+// bufferShortAnswer reads a short answer into memory, also an error that is an event
+// stream; the body of a long answer or of a successful stream stays unread. It returns
+// Lost for a successful answer without a signature, for one that ends early, and for one
+// that turns out to be too long.
 func (active *activeRequest) bufferShortAnswer(answer Answer) ([]byte, Reply) {
 	if answer.Status < 300 && !answer.Signed {
 		_ = answer.Body.Close()
 		return nil, Lost{Cause: errUnsigned}
 	}
-	if answer.Streamed || answer.Length > maxBufferedBytes {
+	if answer.Streamed && answer.Status < 300 || answer.Length > maxBufferedBytes {
 		return nil, answer
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
