fix(relay): a stream whose first attempt is not named goes on only if one software has been there

Cause: such a stream was continued if all endpoints that take requests at this moment have one software. That says nothing of the endpoint that began it: it may leave, may be gone or may have restarted with newer software, and a host that has just started has not seen those before. The kill is not needed for it: an endpoint that drains was enough, and so was a route that has moved.

Evidence: TestResumedStreamAfterAllHostsDied with real processes, four hosts killed at once, 16 long streams, half of them without Resumes.

Change: fleet.SoleSoftware tells whether all endpoints of a service, also those that leave or are gone, have had one software for a given time. A stream whose first attempt is not named is continued if that holds for three timeouts of its route, the route has one service, the configuration has not changed for as long, and configuration and endpoints have been confirmed to be the newest within the limit for that. Else it is refused at once, not run, with a time to return; another host may have been up for longer.

TestStreamOfOneSoftwareIsResumed: refused for three timeouts after a change of the configuration, then served.

Ruled out: streams whose first attempt is named.

Remains: an endpoint with newer software that another host has used and this one has not heard of yet, within the limit for confirmed copies.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,8 +96,10 @@
 		keeper      *batch.Keeper
 		orderSender *orders.Sender
 		// usage is nil if no usage is to be reported.
-		usage    *usage.Reporter
-		table    atomic.Pointer[routes.Table]
+		usage *usage.Reporter
+		table atomic.Pointer[routes.Table]
+		// tableAt is when the configuration came into force.
+		tableAt  atomic.Pointer[time.Time]
 		peers    *peerClient
 		suspects *suspects
 		limits   *limits
@@ -138,7 +140,7 @@
 	e.fleet.OnLeaving(e.endpointLeaves)
 	e.connect(options.DialEndpoint)
 	e.limits = newLimits(e.fleet.Limits(), e.peers, logger)
-	e.origins = newOrigins(e.peers, logger)
+	e.origins = newOrigins(e.peers, e.fleet, e.settled, logger)
 	e.suspects = newSuspects(e.peers, e.detour, logger)
 	e.roster.SetQuarantine(e.suspects)
 	e.roster.SetLimits(e.limits)
@@ -336,6 +338,13 @@
 // newest one.
 func (e *Edge) ConfigAge() time.Duration { return e.mirror.Age(platform.KindConfig) }
 
+// settled reports whether the configuration has been in force for the given time, and it
+// and the list of endpoints are up to date.
+func (e *Edge) settled(within time.Duration) bool {
+	at, limit := e.tableAt.Load(), e.settings.Load().ConfigApplyLimit()
+	return at != nil && time.Since(*at) >= within && e.ConfigAge() <= limit && e.mirror.Age(platform.KindEndpoints) <= limit
+}
+
 // KeyPolicy returns how the age of the configuration affects decisions on keys.
 func (e *Edge) KeyPolicy() access.Policy {
 	settings := e.settings.Load()
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -35,8 +35,12 @@
 type origins struct {
 	ledger *origin.Ledger
 	peers  *peerClient
-	logger *zap.Logger
-	wake   chan struct{}
+	fleet  *fleet.Fleet
+	// settled reports whether the configuration and the list of endpoints are up to date
+	// and the configuration has been in force for the given time.
+	settled func(time.Duration) bool
+	logger  *zap.Logger
+	wake    chan struct{}
 
 	mu      sync.Mutex
 	pending map[string]fleet.Software
@@ -44,9 +48,9 @@
 
 var _ relay.Origins = (*origins)(nil)
 
-func newOrigins(p *peerClient, logger *zap.Logger) *origins {
+func newOrigins(p *peerClient, f *fleet.Fleet, settled func(time.Duration) bool, logger *zap.Logger) *origins {
 	return &origins{
-		ledger: origin.NewLedger(time.Now), peers: p, logger: logger,
+		ledger: origin.NewLedger(time.Now), peers: p, fleet: f, settled: settled, logger: logger,
 		wake: make(chan struct{}, 1), pending: make(map[string]fleet.Software),
 	}
 }
@@ -152,6 +156,16 @@
 	return "", false
 }
 
+// Sole returns the only software of a service's endpoints in the given time. Other hosts
+// may have begun streams at endpoints that this one does not know, or by a configuration
+// that it has not had.
+func (o *origins) Sole(service string, within time.Duration) (fleet.Software, bool) {
+	if !o.settled(within) {
+		return "", false
+	}
+	return o.fleet.SoleSoftware(service, within)
+}
+
 // serve answers another host's call.
 func (o *origins) serve(call *wirepb.OriginCall) *wirepb.OriginReply {
 	for _, record := range call.GetRecords() {
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -42,6 +42,8 @@
 	if current := e.table.Load(); current != nil && current.Version() >= table.Version() {
 		return
 	}
+	now := time.Now()
+	e.tableAt.Store(&now)
 	e.table.Store(table)
 	event.RoutesInForce.Log(e.logger, zap.Uint64("version", table.Version()), zap.Uint64("revision", entry.Revision))
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,9 +133,11 @@
 		// members holds the sorted IDs of each service's endpoints, without services
 		// whose endpoints have changed since it was read.
 		members map[string][]string
-		now     func() time.Time
-		changed chan struct{}
-		limits  *quota.Book
+		// software holds each service's history.
+		software map[string]*softwareHistory
+		now      func() time.Time
+		changed  chan struct{}
+		limits   *quota.Book
 		// leaving holds what endpoints' answers have said, by ID.
 		leaving   map[string]leavingFact
 		onLeaving func(target Target, origin string)
@@ -164,7 +166,7 @@
 func New(now func() time.Time) *Fleet {
 	return &Fleet{
 		endpoints: make(map[string]*endpoint), members: make(map[string][]string), now: now, changed: make(chan struct{}), limits: quota.NewBook(now, nil),
-		leaving: make(map[string]leavingFact),
+		leaving: make(map[string]leavingFact), software: make(map[string]*softwareHistory),
 	}
 }
 
@@ -232,6 +234,10 @@
 	if e != nil && e.removeAt.IsZero() && sameEntry(e.entry, entry) {
 		return false
 	}
+	f.recordKnown(entry.Service)
+	if e != nil && e.entry.Software() != entry.Software() {
+		f.recordGone(e.entry, f.now())
+	}
 	if e == nil || e.entry.StartedMs != entry.StartedMs || e.entry.Address != entry.Address {
 		inFlight := 0
 		if e != nil {
@@ -286,6 +292,7 @@
 		e := f.endpoints[id]
 		if !e.removeAt.IsZero() && !now.Before(e.removeAt) {
 			if e.inFlight == 0 {
+				f.recordGone(e.entry, e.removeAt)
 				delete(f.endpoints, id)
 				delete(f.members, service)
 			}
--- a/integ/order_test.go
+++ b/integ/order_test.go
@@ -10,9 +10,12 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/currantloft/currantloft/fakes/check"
+	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/platform/fake"
 )
 
@@ -20,11 +23,19 @@
 // half of the share of new ones that begin must go on.
 const minResumedShare = 0.5
 
+// resumeAttempts and resumePause are how callers resume a stream after all hosts have died.
+const (
+	resumeAttempts = 4
+	resumePause    = 200 * time.Millisecond
+)
+
 // pieces are the events that a caller has of one stream, and the software versions that
 // wrote them.
 type pieces struct {
 	next     int
 	software map[string]bool
+	// unnamed is true if the caller does not say which attempt brought the first event.
+	unnamed bool
 }
 
 // newMarkedSite starts a site with two engines of each of two software versions, which
@@ -89,9 +100,12 @@
 	request.Host = routeHostname
 	request.Header.Set("Attempt-Id", attempt)
 	request.Header.Set("Deadline-Ms", "4000")
+	request.Header.Set(fake.PromptHeader, first)
 	if p.next > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(p.next-1))
-		request.Header.Set("Resumes", first)
+		if !p.unnamed {
+			request.Header.Set("Resumes", first)
+		}
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
@@ -222,3 +236,112 @@
 		t.Errorf("%d of %d resumed streams went on, want at least %.0f %%", complete.Load(), resumed.Load(), 100*minResumedShare)
 	}
 }
+
+// TestResumedStreamAfterAllHostsDied kills all hosts at once while two software versions
+// serve, or when the endpoints of the old one have just left: no text may hold events of
+// both.
+func TestResumedStreamAfterAllHostsDied(t *testing.T) {
+	for name, oldLeaves := range map[string]bool{"two versions serve": false, "the old version has just left": true} {
+		t.Run(name, func(t *testing.T) { resumeAfterAllHostsDied(t, oldLeaves) })
+	}
+}
+
+func resumeAfterAllHostsDied(t *testing.T, oldLeaves bool) {
+	const streams, groups, batchID = 16, 4, fake.LongPrefix + "batch"
+	s := newMarkedSite(t, 4)
+	s.submitUntilAccepted(batchID, newBatchBody(batchID, groups, 1))
+	s.eventually("the batch's partial output is stored", func() bool {
+		_, err := s.store.Memory.Get(s.ctx, "batch-begun", batchID, object.Fresh)
+		return err == nil
+	})
+	var tasks sync.WaitGroup
+	var resumed, refused, complete [2]atomic.Int64
+	began, restarted := make(chan struct{}, streams), make(chan struct{})
+	for i := range streams {
+		tasks.Go(func() {
+			first := fmt.Sprint(fake.LongPrefix, "talk-", i)
+			p := &pieces{software: make(map[string]bool), unnamed: i%2 == 1}
+			s.stream(s.hosts[i%4], first, first, p, sync.OnceFunc(func() { began <- struct{}{} }))
+			<-restarted
+			resumed[i%2].Add(1)
+			for n := range resumeAttempts {
+				switch status := s.stream(s.hosts[(i+n)%4], fmt.Sprint(first, "-again-", n), first, p, func() {}); status {
+				case http.StatusOK, 0:
+				case http.StatusServiceUnavailable:
+					refused[i%2].Add(1)
+				default:
+					t.Errorf("stream %s is answered with status %d", first, status)
+				}
+				if p.next == fake.EventCount(first) {
+					complete[i%2].Add(1)
+					return
+				}
+				time.Sleep(resumePause)
+			}
+		})
+	}
+	for range streams {
+		<-began
+	}
+	for _, h := range s.hosts {
+		h.signal(syscall.SIGKILL)
+	}
+	for _, h := range s.hosts {
+		<-h.ended()
+	}
+	if oldLeaves {
+		for _, e := range s.engines[:2] {
+			s.removeEndpoint(e)
+			e.Close()
+		}
+	}
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	for _, h := range s.hosts {
+		s.eventually(h.name+" serves new streams", func() bool {
+			p := &pieces{software: make(map[string]bool)}
+			return s.stream(h, "new-"+h.name, "new-"+h.name, p, func() {}) == http.StatusOK
+		})
+	}
+	close(restarted)
+	tasks.Wait()
+	s.checkMarkedBatch(batchID, 3*groups)
+	for i, kind := range []string{"named", "unnamed"} {
+		t.Logf("first attempt %s: %d streams resumed, %d complete, %d attempts refused", kind, resumed[i].Load(), complete[i].Load(), refused[i].Load())
+	}
+	continued := 0
+	for _, e := range s.engines {
+		for _, run := range e.Runs() {
+			if run.After >= 0 && strings.HasPrefix(run.ID, batchID) {
+				continued++
+			}
+		}
+	}
+	t.Logf("%d items resumed", continued)
+}
+
+// TestStreamOfOneSoftwareIsResumed checks that a caller that does not name its first
+// attempt is served once only one software version has been there for long.
+func TestStreamOfOneSoftwareIsResumed(t *testing.T) {
+	s := newSite(t, 2, siteTimeout)
+	config := siteConfig(2)
+	for _, route := range config["routes"].([]map[string]any) {
+		if route["name"] == "talk" {
+			route["timeout_ms"] = 1000
+		}
+	}
+	changed, statuses := time.Now(), make(map[int]bool)
+	s.putObject("config", "main", config)
+	s.eventually("the stream is resumed", func() bool {
+		first := "talk-1"
+		p := &pieces{next: 1, software: make(map[string]bool), unnamed: true}
+		status := s.stream(s.hosts[0], fmt.Sprint("again-", time.Now().UnixNano()), first, p, func() {})
+		statuses[status] = true
+		return p.next == fake.EventCount(first)
+	})
+	if waited := time.Since(changed); waited < 3*time.Second {
+		t.Errorf("resumed after %v, within three timeouts of a changed configuration", waited)
+	}
+	check.Equal(t, "statuses", statuses, map[int]bool{http.StatusServiceUnavailable: true, http.StatusOK: true})
+}
--- a/relay/pin.go
+++ b/relay/pin.go
@@ -10,9 +10,15 @@
 	"github.com/currantloft/currantloft/routes"
 )
 
-// unknownOriginRetryAfter is the retry delay if it is not known which software began the
-// stream that a caller resumes: another host may know it, and be reached by then.
-const unknownOriginRetryAfter = 200 * time.Millisecond
+const (
+	// unknownOriginRetryAfter is the retry delay if it is not known which software began
+	// the stream that a caller resumes: another host may know it, and be reached by then.
+	unknownOriginRetryAfter = 200 * time.Millisecond
+	// resumeTimeouts is how many timeouts of its route a stream may have begun before its
+	// caller resumes it. An attempt lasts one at most, and callers try a few times within
+	// their deadline.
+	resumeTimeouts = 3
+)
 
 var errUnknownOrigin = errors.New("it is not known which software version began the stream")
 
@@ -36,20 +42,15 @@
 }
 
 // resumedSoftware returns the software that began the stream. A caller that does not say
-// which attempt that was is served only while all endpoints have the same software.
+// which attempt that was is served only if the stream can't have begun at another one.
 func (active *activeRequest) resumedSoftware(ctx context.Context) (fleet.Software, bool) {
 	if active.request.Resumes != "" {
 		return active.origins.Lookup(ctx, active.request.Resumes)
 	}
-	var sole fleet.Software
-	for _, s := range active.fleet.Serving(active.service) {
-		software := s.Entry.Software()
-		if sole != "" && software != sole {
-			return "", false
-		}
-		sole = software
+	if active.route.Timeout == 0 || len(active.route.Shares) != 1 {
+		return "", false
 	}
-	return sole, sole != ""
+	return active.origins.Sole(active.service, resumeTimeouts*active.route.Timeout)
 }
 
 // pinStarted limits a stream to the software that has sent its first event.
--- a/relay/pin_test.go
+++ b/relay/pin_test.go
@@ -20,6 +20,11 @@
 type recordedOrigins struct {
 	mu       sync.Mutex
 	software map[string]fleet.Software
+	fleet    *fleet.Fleet
+}
+
+func (r *recordedOrigins) Sole(service string, within time.Duration) (fleet.Software, bool) {
+	return r.fleet.SoleSoftware(service, within)
 }
 
 func newRecordedOrigins() *recordedOrigins {
@@ -39,16 +44,35 @@
 	r.software[attempt] = software
 }
 
-// serveMixed serves a stream at two endpoints of software v1 and two of v2, and returns
-// its text, the software of the endpoints that it was sent to, and the outcome.
-func serveMixed(t *testing.T, origins Origins, request Request, versions []string, steps ...func(context.Context) Reply) (string, []string, Outcome) {
-	t.Helper()
-	f, softwareOf := fleet.New(time.Now), make(map[string]string)
+// mixedFleet returns endpoints of the given software that have been known for some time.
+func mixedFleet(versions []string, known time.Duration) *fleet.Fleet {
+	ago := known
+	f := fleet.New(func() time.Time { return time.Now().Add(-ago) })
 	for i, version := range versions {
-		id := string(rune('a' + i))
-		f.Put(fleet.Entry{ID: id, Service: "s", SoftwareVersion: version, Address: "a:1", Slots: 4})
-		softwareOf[id] = version
+		f.Put(mixedEntry(i, version))
+	}
+	ago = 0
+	return f
+}
+
+func mixedEntry(i int, version string) fleet.Entry {
+	return fleet.Entry{ID: string(rune('a' + i)), Service: "s", SoftwareVersion: version, Address: "a:1", Slots: 4}
+}
+
+// serveMixed serves a stream at endpoints of the given software, and returns its text, the
+// software of the endpoints that it was sent to, and the outcome.
+func serveMixed(t *testing.T, origins *recordedOrigins, request Request, versions []string, steps ...func(context.Context) Reply) (string, []string, Outcome) {
+	t.Helper()
+	return serveFleet(t, mixedFleet(versions, time.Hour), origins, request, steps...)
+}
+
+func serveFleet(t *testing.T, f *fleet.Fleet, origins *recordedOrigins, request Request, steps ...func(context.Context) Reply) (string, []string, Outcome) {
+	t.Helper()
+	softwareOf := make(map[string]string)
+	for _, s := range f.All() {
+		softwareOf[s.Entry.ID] = s.Entry.SoftwareVersion
 	}
+	origins.fleet = f
 	sender := &scriptedSender{steps: steps}
 	outcome := New(Deps{
 		Fleet: f, Sender: sender, Suspects: newCrashOnDisconnect(), Origins: origins, Scope: tally.NoopScope, Logger: zap.NewNop(),
@@ -133,3 +157,36 @@
 		check.Equal(t, "text", text, eventsOf(2, 4))
 	})
 }
+
+// TestResumedStreamAfterItsSoftwareLeft guards against a stream whose caller does not name
+// its first attempt and which goes on at the only software left.
+func TestResumedStreamAfterItsSoftwareLeft(t *testing.T) {
+	request, rest := Request{ID: "again", LastEventID: 1}, streamOf(1, eventsOf(2, 4), false)
+	leaving := mixedEntry(0, "v1")
+	leaving.Draining = true
+	for name, f := range map[string]*fleet.Fleet{
+		"this host has just started": mixedFleet([]string{"v2", "v2"}, 0),
+		"its endpoint leaves":        put(mixedFleet([]string{"v1", "v2"}, time.Hour), leaving),
+		"its endpoint has left":      remove(mixedFleet([]string{"v1", "v2"}, time.Hour), "a"),
+		"its endpoint has restarted": put(mixedFleet([]string{"v1", "v2"}, time.Hour), mixedEntry(0, "v2")),
+	} {
+		t.Run(name, func(t *testing.T) {
+			text, software, outcome := serveFleet(t, f, newRecordedOrigins(), request, rest)
+			if refused, ok := outcome.(Refused); !ok || refused.RetryAfter <= 0 || len(software) > 0 {
+				t.Errorf("got %#v with %q after attempts at %v, want a refusal with a retry delay after none", outcome, text, software)
+			}
+		})
+	}
+}
+
+func put(f *fleet.Fleet, entry fleet.Entry) *fleet.Fleet {
+	f.Put(entry)
+	return f
+}
+
+// remove removes an endpoint, which the fleet notices when it is read.
+func remove(f *fleet.Fleet, id string) *fleet.Fleet {
+	f.Remove(id, 0)
+	f.Serving("s")
+	return f
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -123,6 +123,9 @@
 		// Lookup returns the software that began the stream whose first event the attempt
 		// has brought, also if that was at another host.
 		Lookup(ctx context.Context, attempt string) (fleet.Software, bool)
+		// Sole returns the software at which all streams of a service have begun in the
+		// given time. It reports false if there may have been several.
+		Sole(service string, within time.Duration) (fleet.Software, bool)
 		// Record records that software for this host and others.
 		Record(attempt string, software fleet.Software)
 	}
