fix(batch): a backup of an item that was started anew holds the new output only

Cause: backups send what is new since the last one, counted in events. The count was kept when an item's output was discarded (other weights on a route that allows a single version, no endpoint that continues it). If the new run had more events by the next backup than were sent of the old one, the difference was appended to the old events; the receiver compares the software only, which is the same.

Evidence: TestBackupJoinsTwoRuns, on the code before: 8 events of the first run, then 8 of the second.

Change: discarding an item's output also drops its count, so that the next backup sends all of it.

Measured: the test passes, and those of the package with the race detector.

Remains: two keepers of one batch, or a backup that arrives after its sender has given up, may still interleave at one receiver if the numbers of events fit and the software is the same.

--- a/batch/job.go
+++ b/batch/job.go
@@ -123,9 +123,12 @@
 	return j
 }
 
-// discardOutput discards the partial output, so that the item starts anew.
-func (s *itemState) discardOutput() {
+// discardOutput discards the partial output of an item, so that it starts anew. The caller
+// holds the lock.
+func (j *job) discardOutput(i int) {
+	s := &j.items[i]
 	s.texts, s.versions, s.lastEvent, s.software, s.stuckSince = nil, nil, -1, "", time.Time{}
+	delete(j.backedUp, j.submission.Items[i].ID)
 }
 
 // due returns when the batch's results are due.
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -346,6 +346,26 @@
 	check.Equal(t, "software", k.partials.items["i0"].software, "pool/v2")
 }
 
+// TestBackupJoinsTwoRuns checks that an item that was started anew is sent anew, also if it
+// has more events by then than were sent before.
+func TestBackupJoinsTwoRuns(t *testing.T) {
+	k := newKeeper(t, newCluster(), memory.New(), &instantEngine{held: make(map[string]chan struct{})}, "b")
+	s := submissionOf(t, "s", "i0")
+	j := &job{submission: s, results: NewResultLog(s.Items), items: make([]itemState, 1), running: map[int]*itemRun{0: {}}, backedUp: make(map[string]int)}
+	generate := func(run string, events int) {
+		for n := range events {
+			j.items[0].texts = append(j.items[0].texts, fmt.Sprint(run, n))
+		}
+		j.items[0].versions, j.items[0].software, j.items[0].lastEvent = []int{1}, "pool/v1", events-1
+	}
+	generate("first", minBackupEvents)
+	check.Equal(t, "first run", k.StoreBackup(j.unsentPartials()), true)
+	j.discardOutput(0)
+	generate("second", 2*minBackupEvents)
+	check.Equal(t, "second run", k.StoreBackup(j.unsentPartials()), true)
+	check.Equal(t, "backup", k.partials.items["i0"].texts, j.items[0].texts)
+}
+
 func TestPartialCachePop(t *testing.T) {
 	now := time.UnixMilli(0)
 	cacheOf := func(versions ...int) *partialCache {
--- a/batch/run.go
+++ b/batch/run.go
@@ -206,7 +206,7 @@
 		event.ItemRestarted.Log(k.deps.Logger, zap.String("batch", ref.job.head.ID), zap.String("item", ref.job.submission.Items[ref.item].ID),
 			zap.Int("version", w.PinnedVersion), zap.String("software", string(w.Software)), zap.Int("events", len(state.texts)),
 			zap.Duration("waited", now.Sub(state.stuckSince)))
-		state.discardOutput()
+		ref.job.discardOutput(ref.item)
 		state.restarts++
 		*w = waitingOf(ref.job, ref.item, w.Index, k.tokensPerEvent(ref.job.route.Service(ref.job.head.ID)))
 	}
@@ -416,7 +416,7 @@
 	defer k.mu.Unlock()
 	state := &j.items[r.item]
 	if j.route.SingleVersion && len(state.versions) > 0 && state.versions[0] != version {
-		state.discardOutput()
+		j.discardOutput(r.item)
 		return errMixedVersions
 	}
 	return nil
@@ -443,7 +443,7 @@
 	}
 	r.lastEventAt = now
 	if r.textBytes += len(e.Data); r.textBytes > k.maxTextBytes() {
-		state.discardOutput()
+		j.discardOutput(r.item)
 		return errTextTooLong
 	}
 	if len(state.texts) == 0 {
