test(integ): the soak kills all hosts at once, and some callers don't name their first attempt

One fault in eight is followed by SIGKILL of all hosts, drawn from a generator of its own; one stream in four is resumed with Last-Event-Id alone. No text or stream may hold events of two software versions, as before.

--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -56,6 +56,8 @@
 	limitRandom *rand.Rand
 	// linkRandom draws the links that hosts lose, for the same reason.
 	linkRandom *rand.Rand
+	// herdRandom draws when all hosts are killed at once, for the same reason.
+	herdRandom *rand.Rand
 	// background counts restarts, crashing requests and lost links that are not finished.
 	background sync.WaitGroup
 	// faultsEnded is closed when no more faults are injected.
@@ -123,7 +125,7 @@
 			fake.EngineOptions{Software: "v1", Mark: true}, fake.EngineOptions{Software: "v2", Mark: true}),
 		random: rand.New(rand.NewPCG(seed, 0)), extraRandom: rand.New(rand.NewPCG(seed, 1)),
 		rewardRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)),
-		linkRandom: rand.New(rand.NewPCG(seed, 4)),
+		linkRandom: rand.New(rand.NewPCG(seed, 4)), herdRandom: rand.New(rand.NewPCG(seed, 5)),
 		restarting: make(map[*host]bool), faultsEnded: make(chan struct{}),
 	}
 	stop := make(chan struct{})
@@ -175,6 +177,11 @@
 		s.disturbRewardCalls(duration)
 		s.nameLimit(duration)
 		s.loseLinks(duration)
+		if s.herdRandom.IntN(8) == 0 {
+			for _, h := range s.hosts {
+				s.restart(h, syscall.SIGKILL)
+			}
+		}
 		if s.extraRandom.IntN(5) == 0 {
 			// The request crashes each endpoint that runs it; its answer is not checked.
 			path := []string{plainPath, "/once/", streamPath}[s.extraRandom.IntN(3)]
@@ -359,7 +366,7 @@
 	n := 0
 	repeatUntil(stop, 60*time.Millisecond, func() {
 		n++
-		id, p := fmt.Sprint("talk-", n), &pieces{software: make(map[string]bool)}
+		id, p := fmt.Sprint("talk-", n), &pieces{software: make(map[string]bool), unnamed: n%4 == 0}
 		for try := range 4 {
 			if p.next == fake.EventCount(id) {
 				break
