fix(batch): the backups of two keepers of one batch are not joined

Cause: a host that receives the next piece of a backup compares the number of events and the software. Two keepers that resume an item from the same checkpoint send about the same numbers; the design allows two for a moment after a start.

Evidence: TestBackupJoinsOutputOfTwoKeepers, on the code before: 8 events of the one keeper, then 8 of the other.

Change: a piece states a digest of the events before it, and is taken only if those here are the same; else the sender starts over, as for a missing piece. The field is optional: without it, from the release before, only their number and the software are compared; the release before does not read it.

Measured: the test passes, those of batch and edge with the race detector.

--- a/batch/partial.go
+++ b/batch/partial.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/currantloft/currantloft/fleet"
 	"github.com/currantloft/currantloft/rendez"
 )
@@ -53,8 +55,10 @@
 	// would take over its batch and as stored in checkpoints.
 	PartialOutput struct {
 		Item string `json:"item"`
-		// Offset is how many events the receiver should already have.
+		// Offset is how many events the receiver should already have, and Preceding their
+		// digest. Older releases don't state the digest.
 		Offset    int      `json:"-"`
+		Preceding uint64   `json:"-"`
 		Texts     []string `json:"texts"`
 		LastEvent int      `json:"last"`
 		Versions  []int    `json:"versions"`
@@ -139,7 +143,7 @@
 		texts := r.Texts
 		if r.Offset > 0 {
 			current, ok := k.partials.items[r.Item]
-			if !ok || len(current.texts) != r.Offset || current.software != r.Software {
+			if !ok || !r.continues(current) {
 				allStored = false
 				continue
 			}
@@ -150,6 +154,22 @@
 	return allStored
 }
 
+// continues reports whether the events of a partial output follow those of another one.
+func (r PartialOutput) continues(earlier partial) bool {
+	return len(earlier.texts) == r.Offset && earlier.software == r.Software &&
+		(r.Preceding == 0 || r.Preceding == digest(earlier.texts))
+}
+
+// digest returns a digest of events.
+func digest(texts []string) uint64 {
+	sum := xxhash.New()
+	for _, text := range texts {
+		_, _ = sum.WriteString(text)
+		_, _ = sum.WriteString("\n")
+	}
+	return sum.Sum64()
+}
+
 func (r PartialOutput) toPartial(texts []string, savedAt time.Time) partial {
 	return partial{
 		texts: texts, lastEvent: r.LastEvent, versions: r.Versions, software: r.Software, complete: r.Complete,
@@ -222,7 +242,7 @@
 			continue
 		}
 		list = append(list, PartialOutput{
-			Item: it.ID, Offset: sent, Texts: append([]string(nil), state.texts[sent:]...), LastEvent: state.lastEvent,
+			Item: it.ID, Offset: sent, Preceding: digest(state.texts[:sent]), Texts: append([]string(nil), state.texts[sent:]...), LastEvent: state.lastEvent,
 			Versions: append([]int(nil), state.versions...), Software: state.software,
 		})
 		j.backedUp[it.ID] = len(state.texts)
--- a/batch/plan_test.go
+++ b/batch/plan_test.go
@@ -366,6 +366,34 @@
 	check.Equal(t, "backup", k.partials.items["i0"].texts, j.items[0].texts)
 }
 
+// TestBackupJoinsOutputOfTwoKeepers checks that a piece of one keeper's output is not joined
+// to what another keeper of the same batch has sent.
+func TestBackupJoinsOutputOfTwoKeepers(t *testing.T) {
+	k := newKeeper(t, newCluster(), memory.New(), &instantEngine{held: make(map[string]chan struct{})}, "c")
+	s := submissionOf(t, "s", "i0")
+	generate := func(j *job, run string) []PartialOutput {
+		state := &j.items[0]
+		for range minBackupEvents {
+			state.lastEvent = len(state.texts)
+			state.texts = append(state.texts, fmt.Sprint(run, state.lastEvent))
+		}
+		state.versions, state.software = []int{1}, "pool/v1"
+		return j.unsentPartials()
+	}
+	var jobs []*job
+	for range 2 {
+		jobs = append(jobs, &job{submission: s, results: NewResultLog(s.Items), items: make([]itemState, 1), running: map[int]*itemRun{0: {}}, backedUp: make(map[string]int)})
+	}
+	check.Equal(t, "the first keeper's output", k.StoreBackup(generate(jobs[0], "a")), true)
+	check.Equal(t, "the second keeper's output", k.StoreBackup(generate(jobs[1], "b")), true)
+	more := generate(jobs[0], "a")
+	check.Equal(t, "more of the first keeper's", k.StoreBackup(more), false)
+	check.Equal(t, "backup", k.partials.items["i0"].texts, jobs[1].items[0].texts)
+	check.Equal(t, "more of the second keeper's", k.StoreBackup(generate(jobs[1], "b")), true)
+	more[0].Preceding = 0
+	check.Equal(t, "more than is there, from an older release", k.StoreBackup(more), false)
+}
+
 func TestPartialCachePop(t *testing.T) {
 	now := time.UnixMilli(0)
 	cacheOf := func(versions ...int) *partialCache {
--- a/edge/encode.go
+++ b/edge/encode.go
@@ -72,7 +72,7 @@
 	for _, r := range partials {
 		partial := &wirepb.BatchRest{
 			Item: r.Item, From: int64(r.Offset), Last: int64(r.LastEvent), Whole: r.Complete, Score: r.Score, Scorer: r.RewardID,
-			Software: string(r.Software),
+			Software: string(r.Software), Preceding: r.Preceding,
 		}
 		for _, text := range r.Texts {
 			partial.Texts = append(partial.Texts, []byte(text))
@@ -91,6 +91,7 @@
 		partial := batch.PartialOutput{
 			Item: r.GetItem(), Offset: int(r.GetFrom()), LastEvent: int(r.GetLast()), Complete: r.GetWhole(),
 			Score: r.GetScore(), RewardID: r.GetScorer(), Software: fleet.Software(r.GetSoftware()),
+			Preceding: r.GetPreceding(),
 		}
 		for _, text := range r.GetTexts() {
 			partial.Texts = append(partial.Texts, string(text))
--- a/edge/encode_test.go
+++ b/edge/encode_test.go
@@ -53,7 +53,7 @@
 		check.Equal(t, "page", decodePage(roundTrip(t, encodePage(want), &wirepb.BatchPage{})), want)
 	})
 	t.Run("partial outputs", func(t *testing.T) {
-		want := []batch.PartialOutput{{Item: "a", Offset: 1, LastEvent: 4, Complete: true, Texts: []string{"x", "\xff"}, Versions: []int{7}}}
+		want := []batch.PartialOutput{{Item: "a", Offset: 1, Preceding: 1 << 63, Software: "s/v1", LastEvent: 4, Complete: true, Texts: []string{"x", "\xff"}, Versions: []int{7}}}
 		check.Equal(t, "partial outputs", decodePartials(roundTrip(t, encodePartials(want), &wirepb.BatchRests{})), want)
 	})
 	t.Run("changes of the store", func(t *testing.T) {
