fix(edge): a configuration that leaves the streaming routes as they were does not bar their streams

Change: the time counts from the last version that changed a streaming route's prefix, services or timeout.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -98,13 +98,13 @@
 		// usage is nil if no usage is to be reported.
 		usage *usage.Reporter
 		table atomic.Pointer[routes.Table]
-		// tableAt is when the configuration came into force.
-		tableAt  atomic.Pointer[time.Time]
-		peers    *peerClient
-		suspects *suspects
-		limits   *limits
-		origins  *origins
-		mirror   *mirror.Mirror
+		// streamsAt is when the streaming routes of the configuration came into force.
+		streamsAt atomic.Pointer[time.Time]
+		peers     *peerClient
+		suspects  *suspects
+		limits    *limits
+		origins   *origins
+		mirror    *mirror.Mirror
 		// scaling is nil if no endpoints are ordered.
 		scaling *scaling
 		// restoreUntil is the time until which entries that were removed while the
@@ -338,10 +338,10 @@
 // newest one.
 func (e *Edge) ConfigAge() time.Duration { return e.mirror.Age(platform.KindConfig) }
 
-// settled reports whether the configuration has been in force for the given time, and it
-// and the list of endpoints are up to date.
+// settled reports whether the streaming routes have been in force for the given time, and
+// the configuration and the list of endpoints are up to date.
 func (e *Edge) settled(within time.Duration) bool {
-	at, limit := e.tableAt.Load(), e.settings.Load().ConfigApplyLimit()
+	at, limit := e.streamsAt.Load(), e.settings.Load().ConfigApplyLimit()
 	return at != nil && time.Since(*at) >= within && e.ConfigAge() <= limit && e.mirror.Age(platform.KindEndpoints) <= limit
 }
 
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -36,8 +36,8 @@
 	ledger *origin.Ledger
 	peers  *peerClient
 	fleet  *fleet.Fleet
-	// settled reports whether the configuration and the list of endpoints are up to date
-	// and the configuration has been in force for the given time.
+	// settled reports whether the streaming routes have been in force for the given time,
+	// and the configuration and the list of endpoints are up to date.
 	settled func(time.Duration) bool
 	logger  *zap.Logger
 	wake    chan struct{}
--- a/edge/watch.go
+++ b/edge/watch.go
@@ -39,11 +39,13 @@
 		event.RoutesRefused.Log(e.logger, zap.Uint64("revision", entry.Revision), zap.Error(err))
 		return
 	}
-	if current := e.table.Load(); current != nil && current.Version() >= table.Version() {
+	current := e.table.Load()
+	if current != nil && current.Version() >= table.Version() {
 		return
 	}
-	now := time.Now()
-	e.tableAt.Store(&now)
+	if now := time.Now(); current == nil || !current.SameStreams(table) {
+		e.streamsAt.Store(&now)
+	}
 	e.table.Store(table)
 	event.RoutesInForce.Log(e.logger, zap.Uint64("version", table.Version()), zap.Uint64("revision", entry.Revision))
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -10,6 +10,8 @@
 
 import (
 	"crypto/sha256"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -177,6 +179,29 @@
 	return Route{}, false
 }
 
+// SameStreams reports whether both tables have the same streaming routes, as far as it
+// matters for where a stream began and how long ago.
+func (t *Table) SameStreams(other *Table) bool {
+	return maps.EqualFunc(t.streams(), other.streams(), func(a, b []Route) bool {
+		return slices.EqualFunc(a, b, func(a, b Route) bool {
+			return a.Prefix == b.Prefix && a.Timeout == b.Timeout && slices.Equal(a.Shares, b.Shares)
+		})
+	})
+}
+
+// streams returns the streaming routes by host.
+func (t *Table) streams() map[string][]Route {
+	streams := make(map[string][]Route)
+	for host, list := range t.routesByHost {
+		for _, r := range list {
+			if r.Kind == Streaming {
+				streams[host] = append(streams[host], r)
+			}
+		}
+	}
+	return streams
+}
+
 // Scaled returns the services whose number of endpoints may be changed, by name.
 func (t *Table) Scaled() []Service {
 	var scaled []Service
