--- a/integ/order_test.go
+++ b/integ/order_test.go
@@ -310,15 +310,18 @@
 	for i, kind := range []string{"named", "unnamed"} {
 		t.Logf("first attempt %s: %d streams resumed, %d complete, %d attempts refused", kind, resumed[i].Load(), complete[i].Load(), refused[i].Load())
 	}
-	continued := 0
-	for _, e := range s.engines {
+	var continued [2]int
+	for i, e := range s.engines {
 		for _, run := range e.Runs() {
 			if run.After >= 0 && strings.HasPrefix(run.ID, batchID) {
-				continued++
+				continued[i/2]++
 			}
 		}
 	}
-	t.Logf("%d items resumed", continued)
+	t.Logf("runs of items that go on: %d at the old version, %d at the new one", continued[0], continued[1])
+	if continued[1] == 0 {
+		t.Error("no item was resumed after the events already received")
+	}
 }
 
 // TestStreamOfOneSoftwareIsResumed checks that a caller that does not name its first
