--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,13 +96,15 @@
 		keeper      *batch.Keeper
 		orderSender *orders.Sender
 		// usage is nil if no usage is to be reported.
-		usage    *usage.Reporter
-		table    atomic.Pointer[routes.Table]
-		peers    *peerClient
-		suspects *suspects
-		limits   *limits
-		origins  *origins
-		mirror   *mirror.Mirror
+		usage *usage.Reporter
+		table atomic.Pointer[routes.Table]
+		// streamsAt is when the streaming routes of the configuration came into force.
+		streamsAt atomic.Pointer[time.Time]
+		peers     *peerClient
+		suspects  *suspects
+		limits    *limits
+		origins   *origins
+		mirror    *mirror.Mirror
 		// scaling is nil if no endpoints are ordered.
 		scaling *scaling
 		// restoreUntil is the time until which entries that were removed while the
@@ -141,7 +143,7 @@
 	e.fleet.OnLeaving(e.endpointLeaves)
 	e.connect(options.DialEndpoint)
 	e.limits = newLimits(e.fleet.Limits(), e.peers, logger)
-	e.origins = newOrigins(e.peers, logger)
+	e.origins = newOrigins(e.peers, e.fleet, e.settled, logger)
 	e.suspects = newSuspects(e.peers, e.detour, logger)
 	e.roster.SetQuarantine(e.suspects)
 	e.roster.SetLimits(e.limits)
@@ -339,6 +341,13 @@
 // newest one.
 func (e *Edge) ConfigAge() time.Duration { return e.mirror.Age(platform.KindConfig) }
 
+// settled reports whether the streaming routes have been in force for the given time, and
+// the configuration and the list of endpoints are up to date.
+func (e *Edge) settled(within time.Duration) bool {
+	at, limit := e.streamsAt.Load(), e.settings.Load().ConfigApplyLimit()
+	return at != nil && time.Since(*at) >= within && e.ConfigAge() <= limit && e.mirror.Age(platform.KindEndpoints) <= limit
+}
+
 // KeyPolicy returns how the age of the configuration affects decisions on keys.
 func (e *Edge) KeyPolicy() access.Policy {
 	settings := e.settings.Load()
