test(batch): what a suspended host of the random sequences notices is said

In the trace the first owner was suspended from 0.28 s to 3.17 s before, while it was taken for dead, so that its items came later than those of the other. A host of the test does not notice a suspension; a real one does, and then asks the store. So the trace itself needs an owner that is behind for another reason; TestOwnerTakenForDeadShowsStoredResults has one without a suspension. The test is harsher than the real thing in that point and stays as it is.

--- a/batch/sequences_test.go
+++ b/batch/sequences_test.go
@@ -25,7 +25,9 @@
 )
 
 type (
-	// readSite is a lateSite whose hosts are asked for results all the time.
+	// readSite is a lateSite whose hosts are asked for results all the time. A host that is
+	// suspended exchanges nothing and does not notice it afterwards, since its clock and its
+	// sweeps go on: an owner must not rely on noticing that it was away.
 	readSite struct {
 		*lateSite
 		outside *Keeper
