fix(mirror): removals that a watch returns after an outage are marked

What callers could see: requests that are refused or crowd on few endpoints in the first two seconds after the store is back, since entries that had expired meanwhile name endpoints that still run.

Cause: only a list marked what it found removed after an outage. A watch is tried again each 0.2 s, a list after up to 1 s, so the watch came first.

Change: the first watch that succeeds after a failed one marks its removals if the copy is out of date for as long as a list would take for an outage. Without a failed watch nothing changes: in a large fleet copies are that old between two lists.

--- a/mirror/age_test.go
+++ b/mirror/age_test.go
@@ -119,7 +119,7 @@
 	if h.cut || !h.mirror.Listed(kind) {
 		return
 	}
-	update := h.mirror.applyWatch(kind, f.store.since(h.mirror.kinds[kind].revision), f.store.revision())
+	update := h.mirror.applyWatch(kind, f.store.since(h.mirror.kinds[kind].revision), f.store.revision(), false)
 	if len(update.Changes) > 0 {
 		h.sent.Broadcast([]Update{update})
 	}
--- a/mirror/claim_test.go
+++ b/mirror/claim_test.go
@@ -136,7 +136,7 @@
 				if !mirrors[i].Listed(kind) {
 					return
 				}
-				if update := mirrors[i].applyWatch(kind, store.since(mirrors[i].kinds[kind].revision), store.revision()); len(update.Changes) > 0 {
+				if update := mirrors[i].applyWatch(kind, store.since(mirrors[i].kinds[kind].revision), store.revision(), false); len(update.Changes) > 0 {
 					sent[i].Broadcast([]Update{update})
 				}
 			},
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -527,7 +527,7 @@
 
 // watchLoop watches a kind while this node has rank 0.
 func (m *Mirror) watchLoop(ctx context.Context, kind string) {
-	revision := uint64(0)
+	revision, failed := uint64(0), false
 	for ctx.Err() == nil {
 		if rank, nodes := m.fleet.Rank(); rank > 0 {
 			revision = 0
@@ -547,13 +547,16 @@
 		if err != nil {
 			if ctx.Err() == nil && !errors.Is(err, object.ErrHistoryGone) {
 				event.WatchFailed.Log(m.logger, zap.String("kind", kind), zap.Uint64("revision", revision), zap.Error(err))
+				failed = true
 			}
 			revision = 0
 			_ = waits.For(ctx, retryPause)
 			continue
 		}
-		revision = next
-		if update := m.applyWatch(kind, changes, next); len(update.Changes) > 0 {
+		// Without a failed watch the copy is merely not listed that often.
+		unavailable := failed && m.unavailable()
+		revision, failed = next, false
+		if update := m.applyWatch(kind, changes, next, unavailable); len(update.Changes) > 0 {
 			m.fleet.Broadcast([]Update{update})
 			_, nodes := m.fleet.Rank()
 			_ = waits.For(ctx, WatchPause(nodes))
@@ -562,13 +565,14 @@
 }
 
 // applyWatch applies the changes that a watch has returned, and returns them as an
-// update. The watch continues from next.
-func (m *Mirror) applyWatch(kind string, changes []object.Change, next uint64) Update {
+// update. The watch continues from next. Unavailable reports that the store did not answer
+// before.
+func (m *Mirror) applyWatch(kind string, changes []object.Change, next uint64, unavailable bool) Update {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.kinds[kind]
 	previous := c.changedAt
-	applied := c.apply(changes, false)
+	applied := c.apply(changes, unavailable)
 	c.complete(next)
-	return Update{Kind: kind, Revision: next, Previous: previous, Changes: applied}
+	return Update{Kind: kind, Revision: next, Previous: previous, Unavailable: unavailable, Changes: applied}
 }
