fix(mirror): a failed list shows an outage, too

A watch that was under way when the outage began does not fail; the lists do. A failed list or watch counts now until a list or a watch succeeds.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -125,8 +125,10 @@
 		received chan struct{}
 		// gapped signals that this node may have missed an update.
 		gapped chan struct{}
-		// freshAt is when the copy was last known to be up to date.
+		// freshAt is when the copy was last known to be up to date. Failing reports that a
+		// list or a watch has failed since the last one that succeeded.
 		freshAt time.Time
+		failing bool
 	}
 
 	// kindCopy is the copy of one kind.
@@ -306,6 +308,7 @@
 		if err != nil {
 			if ctx.Err() == nil {
 				event.WatchFailed.Log(m.logger, zap.String("kind", kind), zap.Error(err))
+				m.recordFailure()
 			}
 			return false
 		}
@@ -338,6 +341,25 @@
 	return !m.freshAt.IsZero() && time.Since(m.freshAt) > unavailableAfter
 }
 
+// recordFailure records that a list or a watch has failed.
+func (m *Mirror) recordFailure() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failing = true
+}
+
+// endFailure records that a watch has succeeded, and reports whether the store was
+// unavailable before: calls had failed, and the copy is older than a list allows. Without a
+// failed call it may be that old in a large fleet.
+func (m *Mirror) endFailure() bool {
+	unavailable := m.unavailable()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	unavailable = unavailable && m.failing
+	m.failing = false
+	return unavailable
+}
+
 // applyList applies the differences between a list and the copy, and returns them as
 // an update.
 func (m *Mirror) applyList(kind string, entries []object.Entry, upTo uint64, unavailable bool) Update {
@@ -357,7 +379,7 @@
 			changes = append(changes, object.Change{Entry: object.Entry{Name: name, Revision: upTo}, Removed: true})
 		}
 	}
-	m.freshAt = time.Now()
+	m.freshAt, m.failing = time.Now(), false
 	previous := c.changedAt
 	applied := c.apply(changes, unavailable)
 	if c.listed {
@@ -527,7 +549,7 @@
 
 // watchLoop watches a kind while this node has rank 0.
 func (m *Mirror) watchLoop(ctx context.Context, kind string) {
-	revision, failed := uint64(0), false
+	revision := uint64(0)
 	for ctx.Err() == nil {
 		if rank, nodes := m.fleet.Rank(); rank > 0 {
 			revision = 0
@@ -547,16 +569,14 @@
 		if err != nil {
 			if ctx.Err() == nil && !errors.Is(err, object.ErrHistoryGone) {
 				event.WatchFailed.Log(m.logger, zap.String("kind", kind), zap.Uint64("revision", revision), zap.Error(err))
-				failed = true
+				m.recordFailure()
 			}
 			revision = 0
 			_ = waits.For(ctx, retryPause)
 			continue
 		}
-		// Without a failed watch the copy is merely not listed that often.
-		unavailable := failed && m.unavailable()
-		revision, failed = next, false
-		if update := m.applyWatch(kind, changes, next, unavailable); len(update.Changes) > 0 {
+		revision = next
+		if update := m.applyWatch(kind, changes, next, m.endFailure()); len(update.Changes) > 0 {
 			m.fleet.Broadcast([]Update{update})
 			_, nodes := m.fleet.Rank()
 			_ = waits.For(ctx, WatchPause(nodes))
