fix(mirror): what changed between two pages of a list is left to the watch

What operators would see: in fleets of more than some 500 objects of a kind every host lists for itself after a change that falls between two pages.

Objects that changed later were applied all the same, so the next update claimed to follow a revision that no peer is complete up to.

Evidence: TestChangeBetweenPagesReachesPeers fails without the change (the peer misses changes up to 12) and passes; the entries arrive either way. An update with such a list states no digest of the names.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -368,12 +368,22 @@
 	c := m.kinds[kind]
 	var changes []object.Change
 	seen := make(map[string]bool, len(entries))
-	newest := uint64(0)
+	newest, torn := uint64(0), false
 	for _, entry := range entries {
 		seen[entry.Name] = true
+		if c.listed && entry.Revision > upTo {
+			// It changed between two pages of the list. The watch or the next list brings it
+			// with all others that did.
+			torn = true
+			continue
+		}
 		newest = max(newest, entry.Revision)
 		changes = append(changes, object.Change{Entry: entry})
 	}
+	names := digest(maps.Keys(seen))
+	if torn {
+		names = 0
+	}
 	for name, revision := range c.revisions {
 		if !seen[name] && revision <= upTo {
 			changes = append(changes, object.Change{Entry: object.Entry{Name: name, Revision: upTo}, Removed: true})
@@ -390,12 +400,12 @@
 		if newest == 0 {
 			newest = upTo
 		}
-		c.complete(newest)
+		c.complete(min(newest, upTo))
 		c.changedAt = max(c.changedAt, upTo)
 		c.listed = true
 	}
 	return Update{
-		Kind: kind, Revision: upTo, Previous: previous, Unavailable: unavailable, Names: digest(maps.Keys(seen)), Changes: applied,
+		Kind: kind, Revision: upTo, Previous: previous, Unavailable: unavailable, Names: names, Changes: applied,
 	}
 }
 
