test(integ): hosts are upgraded one after the other, and back

Until now no test ran two releases side by side; that messages and stored objects stay readable both ways was checked by reading.

The test builds the landing before this tree (git archive, one build), starts four hosts with it, and replaces host after host by this build and then back by the earlier one: SIGTERM, at most 8 s, start on the same address, up to two hosts at a time. Meanwhile callers (idempotent, non-idempotent on kept connections, streams, half of which are left and resumed at another host), trainers whose batches are read at random positions at all hosts and partly ended, named weight versions, changes of the configuration and of endpoints go on. It checks that nothing is lost, no position is missing or changes, no item is listed twice, no refused batch runs, orders come from one holder at a time, configurations are in force within 2 s, draining endpoints get nothing more, and streams and texts are of one software.

--order-endpoints is only passed where the settings name the duty: releases before don't know the flag.

--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -48,9 +48,11 @@
 		resolverAddress string
 		adminAddress    string
 
-		mu   sync.Mutex
-		cmd  *exec.Cmd
-		done chan struct{}
+		mu sync.Mutex
+		// binary runs the host from its next start on.
+		binary string
+		cmd    *exec.Cmd
+		done   chan struct{}
 	}
 
 	// site is a fake store and fake endpoints with real edge processes.
@@ -63,7 +65,7 @@
 		hosts   []*host
 		subnet  string
 		client  *http.Client
-		// binary runs the hosts.
+		// binary runs the hosts that are added.
 		binary string
 		// settings are further lines of their settings.
 		settings string
@@ -224,6 +226,7 @@
 		readyAddress:    fmt.Sprintf("%s:%d", ip, readyPort),
 		resolverAddress: fmt.Sprintf("%s:%d", ip, resolverPort),
 		adminAddress:    fmt.Sprintf("%s:%d", ip, adminPort),
+		binary:          s.binary,
 	}
 	quota := "0.8"
 	if i >= strongHosts {
@@ -259,7 +262,14 @@
 		s.t.Fatal(err)
 	}
 	defer log.Close()
-	cmd, done := exec.Command(s.binary, "edge", "--order-endpoints", "--admin-port", strconv.Itoa(adminPort)), make(chan struct{})
+	arguments := []string{"edge", "--admin-port", strconv.Itoa(adminPort)}
+	if s.settings != "" {
+		// The duty is named by settings. Earlier releases don't know the flag.
+		arguments = append(arguments, "--order-endpoints")
+	}
+	h.mu.Lock()
+	cmd, done := exec.Command(h.binary, arguments...), make(chan struct{})
+	h.mu.Unlock()
 	cmd.Env = append(os.Environ(), "CURRANTLOFT_SETTINGS="+h.settings, "CURRANTLOFT_LINKS="+h.links)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -438,10 +448,12 @@
 	mu         sync.Mutex
 	byPosition map[int]string
 	positions  map[string]int
+	// readAt is when a position was first read.
+	readAt map[int]time.Time
 }
 
 func newResultHistory() *resultHistory {
-	return &resultHistory{byPosition: make(map[int]string), positions: make(map[string]int)}
+	return &resultHistory{byPosition: make(map[int]string), positions: make(map[string]int), readAt: make(map[int]time.Time)}
 }
 
 // check checks the results on a page and compares them with those seen before:
@@ -459,6 +471,9 @@
 		if before, ok := h.positions[got.ID]; ok && before != position {
 			t.Errorf("item %s is at positions %d and %d", got.ID, before, position)
 		}
+		if _, ok := h.readAt[position]; !ok {
+			h.readAt[position] = time.Now()
+		}
 		h.byPosition[position], h.positions[got.ID] = text, position
 		events, software := fake.Unmark(got.Text)
 		if got.State == "completed" && events != fake.Text(got.ID) {
--- a/integ/order_test.go
+++ b/integ/order_test.go
@@ -23,7 +23,9 @@
 // pieces are the events that a caller has of one stream, and the software versions that
 // wrote them.
 type pieces struct {
-	next     int
+	next int
+	// leaveAt is the number of events after which the caller leaves, 0 for never.
+	leaveAt  int
 	software map[string]bool
 }
 
@@ -106,6 +108,9 @@
 		if data, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
 			p.add(s.t, first, data)
 			onEvent()
+			if p.next == p.leaveAt {
+				break
+			}
 		}
 	}
 	return response.StatusCode
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -92,27 +92,33 @@
 func soakSeeds(t *testing.T) []uint64 {
 	seeds := append([]uint64(nil), regressionSeeds...)
 	text := os.Getenv(soakEnv)
-	first, last, isRange := strings.Cut(text, "-")
-	switch {
-	case text == "":
+	if text == "" {
 		return append(seeds, 1)
-	case isRange:
+	}
+	return append(seeds, parseSeeds(t, soakEnv, text)...)
+}
+
+// parseSeeds returns the seeds of "FIRST-LAST", or N random ones for "N".
+func parseSeeds(t *testing.T, variable, text string) (seeds []uint64) {
+	t.Helper()
+	first, last, isRange := strings.Cut(text, "-")
+	if isRange {
 		from, err := strconv.ParseUint(first, 10, 64)
 		to, err2 := strconv.ParseUint(last, 10, 64)
 		if err != nil || err2 != nil {
-			t.Fatalf("%s: want FIRST-LAST, got %q", soakEnv, text)
+			t.Fatalf("%s: want FIRST-LAST, got %q", variable, text)
 		}
 		for seed := from; seed <= to; seed++ {
 			seeds = append(seeds, seed)
 		}
-	default:
-		n, err := strconv.Atoi(text)
-		if err != nil {
-			t.Fatalf("%s: want a number of seeds, got %q", soakEnv, text)
-		}
-		for range n {
-			seeds = append(seeds, rand.Uint64()>>1)
-		}
+		return seeds
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("%s: want a number of seeds, got %q", variable, text)
+	}
+	for range n {
+		seeds = append(seeds, rand.Uint64()>>1)
 	}
 	return seeds
 }
