fix(edge): streams are resumed while all hosts stop

What callers saw: during a restart of most hosts at about the same time, streams that they took up at another host were refused (503, event 410 with an empty list of asked hosts), though that host and those that knew the stream were still answering.

Cause: the hosts that keep and are asked for the software of a stream are chosen from those that may own batches, which no host does once it leaves. With all hosts leaving nobody is asked, and records of streams that have just begun are sent to nobody.

Change: a lookup also asks the hosts that are leaving, the first five by the same rank; a record goes to leaving hosts if there are fewer than three others. A host that does not know the software still refuses, so no text is joined.

Evidence: the test stops eight hosts and takes up 56 streams at other hosts.

Not changed: records are lost with the last host that has them, as after a kill.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -92,7 +92,9 @@
 	o.mu.Unlock()
 	byHost := make(map[string][]*wirepb.StreamOrigin)
 	for attempt, software := range records {
-		for _, name := range o.holders(attempt, originCopies) {
+		names := o.holders(attempt, originCopies)
+		names = append(names, o.leaving(attempt, originCopies-len(names))...)
+		for _, name := range names {
 			byHost[name] = append(byHost[name], &wirepb.StreamOrigin{Attempt: attempt, Software: string(software)})
 		}
 	}
@@ -122,6 +124,18 @@
 	return names
 }
 
+// leaving returns the hosts that had the records of a stream before they began to leave.
+// They still answer, and while many hosts stop no other one may have the record.
+func (o *origins) leaving(attempt string, count int) []string {
+	var names []string
+	for _, h := range o.peers.Peers() {
+		if h.Leaving && o.peers.CouldBeHub(h) {
+			names = append(names, h.Name)
+		}
+	}
+	return rendez.Top(originKey+attempt, names, count)
+}
+
 // Lookup returns the software that began a stream, and asks other hosts if this one does
 // not know it.
 func (o *origins) Lookup(ctx context.Context, attempt string) (fleet.Software, bool) {
@@ -130,7 +144,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	names := o.holders(attempt, originAsked)
+	names := append(o.holders(attempt, originAsked), o.leaving(attempt, originAsked)...)
 	found := make(chan fleet.Software, len(names))
 	call := &wirepb.Frame{Body: &wirepb.Frame_OriginCall{OriginCall: &wirepb.OriginCall{Attempt: attempt}}}
 	for _, name := range names {
--- a/integ/order_test.go
+++ b/integ/order_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -227,3 +228,52 @@
 		t.Errorf("%d of %d resumed streams went on, want at least %.0f %%", complete.Load(), resumed.Load(), 100*minResumedShare)
 	}
 }
+
+// TestStreamsNotResumedWhileAllHostsStop stops all hosts in the middle of streams. As long
+// as they answer, streams that one began must go on at another.
+func TestStreamsNotResumedWhileAllHostsStop(t *testing.T) {
+	const hosts = 8
+	s := newMarkedSite(t, hosts)
+	each := func(call func(i, j int)) {
+		var tasks sync.WaitGroup
+		for i := range hosts {
+			for j := range hosts {
+				if i != j {
+					tasks.Go(func() { call(i, j) })
+				}
+			}
+		}
+		tasks.Wait()
+	}
+	var streams [hosts][hosts]pieces
+	each(func(i, j int) {
+		id, p := fmt.Sprintf("talk-%d-%d", i, j), &streams[i][j]
+		p.leaveAt, p.software = 1, make(map[string]bool)
+		s.stream(s.hosts[i], id, id, p, func() {})
+	})
+	for _, h := range s.hosts {
+		h.signal(syscall.SIGTERM)
+	}
+	for _, h := range s.hosts {
+		s.eventually(h.name+" is leaving", func() bool { return s.status(h, h.readyAddress, "/currantloft/readyz") != http.StatusOK })
+	}
+	var resumed, complete atomic.Int64
+	each(func(i, j int) {
+		id, p := fmt.Sprintf("talk-%d-%d", i, j), &streams[i][j]
+		if p.next == 0 {
+			return
+		}
+		resumed.Add(1)
+		s.stream(s.hosts[j], id+"-again", id, p, func() {})
+		if p.next == fake.EventCount(id) {
+			complete.Add(1)
+		}
+	})
+	if resumed.Load() == 0 {
+		t.Fatal("no stream began")
+	}
+	if share := float64(complete.Load()) / float64(resumed.Load()); share < minResumedShare {
+		t.Errorf("%d of %d resumed streams went on, want at least %.0f %%", complete.Load(), resumed.Load(), 100*minResumedShare)
+	}
+	t.Logf("%d of %d resumed streams went on", complete.Load(), resumed.Load())
+}
