test(integ): bodies and ends are checked during upgrades

The first form read a body only right after its batch was accepted, within the second in which a host may not know it yet. Bodies are now read at random hosts all the time, and an item of an open batch must not be unknown; twice as many batches are ended.

--- a/integ/upgrade_test.go
+++ b/integ/upgrade_test.go
@@ -235,7 +235,6 @@
 				u.mu.Lock()
 				u.batches = append(u.batches, b)
 				u.mu.Unlock()
-				u.checkBody(u.anyHost(random), b)
 				return
 			case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 				refusals++
@@ -250,13 +249,21 @@
 	})
 }
 
-// checkBody reads an item's body, which must be there until the item is listed.
-func (u *upgrade) checkBody(h *host, b *upgradeBatch) {
-	item := b.id + "-3-2"
+// checkBody reads the body of an item, which must be there while the batch is not ended.
+func (u *upgrade) checkBody(random *rand.Rand, b *upgradeBatch) {
+	h, began := u.anyHost(random), time.Now()
+	at, item := u.describe(h), fmt.Sprintf("%s-%d-%d", b.id, random.IntN(b.total/3), random.IntN(3))
 	status, body := u.send(http.MethodGet, h.callerAddress, "/currantloft/items/"+b.id+"?id="+item, "", nil)
-	if status == http.StatusOK && string(body) != "body of "+item {
-		u.t.Errorf("%s: body of %s is %q", u.describe(h), item, body)
+	u.mu.Lock()
+	ended := b.ended
+	u.mu.Unlock()
+	switch {
+	case status == http.StatusOK && string(body) != "body of "+item:
+		u.t.Errorf("%s: body of %s is %q", at, item, body)
+	case status == http.StatusNotFound && !ended && began.Sub(b.acceptedAt) > settleBound:
+		u.t.Errorf("%s: item %s is unknown %v after its batch was accepted", at, item, began.Sub(b.acceptedAt))
 	}
+	u.count(fmt.Sprint("bodies with status ", status))
 }
 
 // readBatches reads random positions of random batches at random hosts, and ends some
@@ -281,14 +288,18 @@
 			after = random.IntN(known)
 		}
 		u.read(u.anyHost(random), b, after)
-		if random.IntN(100) == 0 {
-			status, _ := u.send(http.MethodDelete, u.anyHost(random).callerAddress, "/currantloft/lots/"+b.id, "", nil)
-			if status == http.StatusNotFound {
-				u.t.Errorf("batch %s is unknown at its end", b.id)
-			}
+		u.checkBody(random, b)
+		if random.IntN(50) == 0 {
 			u.mu.Lock()
 			b.ended = true
 			u.mu.Unlock()
+			h, began := u.anyHost(random), time.Now()
+			at := u.describe(h)
+			status, _ := u.send(http.MethodDelete, h.callerAddress, "/currantloft/lots/"+b.id, "", nil)
+			if status == http.StatusNotFound && began.Sub(b.acceptedAt) > settleBound {
+				u.t.Errorf("%s: batch %s is unknown at its end", at, b.id)
+			}
+			u.count(fmt.Sprint("ends with status ", status))
 		}
 	})
 }
