fix(orders): a version that was named in error doesn't end all later orders

What callers would see: one object among the named versions with a number too large, for a moment, and no endpoint loads a version of that model again until every node has started anew: the trainers' steps need versions that nobody is ordered to load.

Cause: the sender kept the highest version that it had read of a model, and the decoder took any number and any name.

The newest revision of an object decides what it names; of several objects for a model the highest counts. An object that can't be read changes nothing.

--- a/orders/sender.go
+++ b/orders/sender.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -55,14 +54,20 @@
 		Logger *zap.Logger
 	}
 
+	// namedVersion is a version that a trainer has named.
+	namedVersion struct {
+		model   string
+		version int
+	}
+
 	// Sender sends orders to endpoints while this node is the leader.
 	Sender struct {
 		deps Deps
 		duty *duty.Duty
 
 		mu sync.Mutex
-		// named is the newest version that a trainer has named, by model.
-		named   map[string]int
+		// named holds the versions that trainers have named, by the name of the object.
+		named   map[string]namedVersion
 		loading Loading
 		// retryAt is the earliest time for the next order, by endpoint.
 		retryAt map[string]time.Time
@@ -77,7 +82,7 @@
 		deps: deps, duty: duty.New(duty.Deps{
 			Name: "orders", Holder: deps.Name, Lease: deps.Lease, Assigned: deps.IsLeader, Logger: deps.Logger,
 		}),
-		named: make(map[string]int), loading: make(Loading), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
+		named: make(map[string]namedVersion), loading: make(Loading), retryAt: make(map[string]time.Time), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -101,26 +106,37 @@
 	})
 }
 
-// RecordNamedVersion records a version that a trainer has named.
+// RecordNamedVersion records the version that a trainer names in an object. It must be
+// called in the order of the object's revisions: an object replaces what it said before,
+// which may have been an error. An object that can't be read changes nothing.
 func (s *Sender) RecordNamedVersion(entry object.Entry) {
 	model, version, err := s.deps.Decode(entry.Spec)
 	if err != nil {
 		event.VersionUnreadable.Log(s.deps.Logger, zap.String("entry", entry.Name), zap.Error(err))
 		return
 	}
+	next := namedVersion{model: model, version: version}
 	s.mu.Lock()
-	newer := version > s.named[model]
-	if newer {
-		s.named[model] = version
-	}
+	changed := s.named[entry.Name] != next
+	s.named[entry.Name] = next
 	s.mu.Unlock()
-	if newer {
+	if changed {
 		event.VersionNamed.Log(s.deps.Logger, zap.String("model", model), zap.Int("version", version),
 			zap.Uint64("revision", entry.Revision))
 		s.signal()
 	}
 }
 
+// newest returns the newest version that is named for each model. The caller holds the
+// lock.
+func (s *Sender) newest() map[string]int {
+	newest := make(map[string]int, len(s.named))
+	for _, n := range s.named {
+		newest[n.model] = max(newest[n.model], n.version)
+	}
+	return newest
+}
+
 func (s *Sender) signal() {
 	select {
 	case s.wake <- struct{}{}:
@@ -161,11 +177,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var loads []PlannedLoad
-	now := time.Now()
+	now, named := time.Now(), s.newest()
 	for _, service := range table.Engines() {
 		desiredVersions := make([]DesiredVersion, 0, len(service.Models))
 		for _, model := range service.Models {
-			desiredVersions = append(desiredVersions, DesiredVersion{Model: model, Version: max(firstVersion, s.named[model]), Weight: s.deps.Demand(model)})
+			desiredVersions = append(desiredVersions, DesiredVersion{Model: model, Version: max(firstVersion, named[model]), Weight: s.deps.Demand(model)})
 		}
 		for _, load := range PlanWithPolicy(s.deps.Policy, s.deps.Fleet.Serving(service.Name), desiredVersions, s.loading) {
 			if now.After(s.retryAt[load.State.Entry.ID]) {
@@ -273,7 +289,7 @@
 func (s *Sender) Dump() State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := State{Named: maps.Clone(s.named)}
+	state := State{Named: s.newest()}
 	state.Epoch, state.Held = s.deps.Lease.Held()
 	for id := range s.loading {
 		state.Loading = append(state.Loading, id)
