fix(roster): a corrupted entry names no host and is logged once

What operators would see: an entry among the hosts' that another writer has changed is logged at each list of each host, every 6 s. One with a port out of range, or for another host's name with a later start, takes part in the fleet until hellos to it have failed, and again after the next list; as the host with the largest capacity it leaves the others without their part as hubs meanwhile.

Cause: any entry with a name was taken, and nothing remembered which had been logged.

Change: an entry counts if it is under its own name and its addresses are IP addresses with ports; others are logged when a list finds them for the first time.

Left: an entry that is well-formed and names a start in the future replaces what is known of the host, until its next hello; hosts alone write these entries.

Evidence: TestOddEntryNamesNoHost failed before (3 hosts of 1, one of them with the start that another entry names, and 9 lines for 6 entries); it and the package's tests pass with the race detector (131 s).

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -26,6 +26,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -125,9 +126,12 @@
 	// Roster tracks the hosts of the fleet for one node. It is safe for concurrent
 	// use.
 	Roster struct {
-		store      object.Store
-		pool       *peers.Pool
-		logger     *zap.Logger
+		store  object.Store
+		pool   *peers.Pool
+		logger *zap.Logger
+		// unreadable holds the names of the entries that the last list could not read.
+		// Only one list runs at a time.
+		unreadable map[string]bool
 		onDead     func(Host)
 		onLeaving  func(Host)
 		quarantine Quarantine
@@ -384,18 +388,44 @@
 	if err != nil {
 		return fmt.Errorf("listing hosts: %w", err)
 	}
+	unreadable := make(map[string]bool)
 	for _, record := range records {
-		var h Host
-		if err := json.Unmarshal(record.Spec, &h); err != nil || h.Name == "" {
-			event.HostListFailed.Log(r.logger, zap.String("entry", record.Name), zap.Error(err))
+		h, err := decodeEntry(record)
+		if err != nil {
+			unreadable[record.Name] = true
+			if !r.unreadable[record.Name] {
+				event.HostListFailed.Log(r.logger, zap.String("entry", record.Name), zap.Error(err))
+			}
 			continue
 		}
 		r.recordReported(h)
 		r.keepDead(h)
 	}
+	r.unreadable = unreadable
 	return nil
 }
 
+// decodeEntry decodes a host's entry. Another writer may have corrupted it.
+func decodeEntry(record object.Entry) (Host, error) {
+	var h Host
+	if err := json.Unmarshal(record.Spec, &h); err != nil {
+		return Host{}, fmt.Errorf("decoding a host's entry: %w", err)
+	}
+	if h.Name == "" || h.Name != record.Name {
+		return Host{}, fmt.Errorf("the entry names the host %q", h.Name)
+	}
+	if !isAddress(h.PeerAddress) || h.CallerAddress != "" && !isAddress(h.CallerAddress) {
+		return Host{}, fmt.Errorf("%q or %q is no address", h.PeerAddress, h.CallerAddress)
+	}
+	return h, nil
+}
+
+// isAddress reports whether a text is an IP address with a port.
+func isAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0
+}
+
 // keepDead prolongs the memory of a dead host that is still registered, so that its
 // entry does not bring it back.
 func (r *Roster) keepDead(h Host) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -10,7 +10,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fakes/memory"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/peers"
@@ -263,3 +266,31 @@
 	r.Serve(&wirepb.Hello{From: second})
 	wantAlive(1, true)
 }
+
+// An entry of another writer must name no host, and be logged once while it stays.
+func TestOddEntryNamesNoHost(t *testing.T) {
+	store := memory.New()
+	odd := map[string]string{
+		"no json": "?", "null": "null", "other": `{"name":"good","incarnation":99,"peers":"127.0.0.1:1"}`,
+		"port":    `{"name":"port","incarnation":2,"peers":"127.0.0.1:70000","power":4294967295}`,
+		"callers": `{"name":"callers","incarnation":2,"peers":"127.0.0.1:1","callers":":0"}`,
+		"number":  `{"name":"number","incarnation":1e99,"peers":"127.0.0.1:1"}`,
+	}
+	odd["good"] = `{"name":"good","incarnation":2,"peers":"127.0.0.1:1","callers":"127.0.0.1:2","new":[]}`
+	for name, spec := range odd {
+		if _, err := store.Create(t.Context(), kindHosts, name, []byte(spec)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	r := New(Host{Name: "self"}, store, nil, zap.New(core))
+	for range 3 {
+		check.Equal(t, "error", r.list(t.Context(), object.Fresh), nil)
+	}
+	found := make(map[string]uint64)
+	for name, p := range r.hosts {
+		found[name] = p.host.Incarnation
+	}
+	check.Equal(t, "hosts", found, map[string]uint64{"good": 2})
+	check.Equal(t, "lines", logs.FilterMessage(event.HostListFailed.Name()).Len(), len(odd)-1)
+}
