fix(batch): an unreadable head is logged once, and a copied one is no batch

What operators would see: a head among the batches' that can't be read is logged as an error at each list of each host that may own batches. One that another writer has copied to another name, with other numbers, counts as the batch that it names: the first of the two in the list decides how many items the batch has.

Cause: listBatches remembered nothing, and decodeHead took any id.

Change: heads that a list can't read are logged when a list finds them for the first time; a head must be under its own name.

Left: a head that is well-formed but wrong, of a batch with no body for instance, is taken over in vain every 0.4 s until its age exceeds the batch's lifetime, which it never does if it names a time in the future. Only hosts write these objects.

--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -159,9 +159,11 @@
 		// handover signals that this node may have to take over a batch.
 		handover chan struct{}
 
-		mu             sync.Mutex
-		jobs           map[string]*job
-		batches        map[string]*knownBatch
+		mu      sync.Mutex
+		jobs    map[string]*job
+		batches map[string]*knownBatch
+		// unreadable holds the names of the heads that the last list could not read.
+		unreadable     map[string]bool
 		groupEndpoints GroupEndpoints
 		cache          *cache
 		offers         map[string]Submission
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -57,8 +57,8 @@
 	if err := json.Unmarshal(record.Spec, &head); err != nil {
 		return Head{}, fmt.Errorf("decoding the head of batch %s: %w", record.Name, err)
 	}
-	if head.ID == "" {
-		return Head{}, fmt.Errorf("the head of batch %s names no batch", record.Name)
+	if head.ID == "" || head.ID != record.Name {
+		return Head{}, fmt.Errorf("the head of batch %s names batch %q", record.Name, head.ID)
 	}
 	return head, nil
 }
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -86,16 +86,21 @@
 	for _, record := range ends {
 		ended[record.Name] = true
 	}
+	unreadable := make(map[string]bool)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, record := range heads {
 		head, err := decodeHead(record)
 		if err != nil {
-			event.BatchUnreadable.Log(k.deps.Logger, zap.String("batch", record.Name), zap.Error(err))
+			unreadable[record.Name] = true
+			if !k.unreadable[record.Name] {
+				event.BatchUnreadable.Log(k.deps.Logger, zap.String("batch", record.Name), zap.Error(err))
+			}
 			continue
 		}
 		k.applyLocked(Notification{Head: head, Ended: ended[record.Name]})
 	}
+	k.unreadable = unreadable
 	return nil
 }
 
