fix(usage): an object of a later window doesn't end all reports

What operators would see: one object among the windows' whose name is a number beyond the present window, while all hosts start or the one that knew is gone: no window is reported until that number is reached, with 5 s windows and in thousands of years. The counts are lost.

Cause: the oldest stored window that is recent enough counts as the first that may not be reported, and one of the future is always recent.

Change: a name counts as a window from 0 to the one that is under way at a host whose clock is ahead by the bound of 6 s. Others are logged once as usage_window_failed when a host begins to report, and are neither read nor removed.

Evidence: TestOddWindowEndsNoReports failed before for a later window (0 of 150 requests reported for each of them), and held for the other six names; all pass with the race detector, as does the package.

--- a/usage/faults_test.go
+++ b/usage/faults_test.go
@@ -225,3 +225,27 @@
 		c.checkReported(c.start, time.Now().Add(-reportBound), reportBound, uint64(1300*time.Millisecond/beganInterval))
 	}
 }
+
+// An object that names no window of the past must not make all later ones count as reported.
+func TestOddWindowEndsNoReports(t *testing.T) {
+	const later = "later"
+	for _, name := range []string{later, "9223372036854775807", "9999999999", "-9223372036854775808", "-7", "1e99", "odd"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 0)
+				defer c.close()
+				if name == later {
+					name = fmt.Sprint(windowAt(time.Now(), testLength) + 1000)
+				}
+				if _, err := c.store.Create(t.Context(), kindWindows, name, []byte("?")); err != nil {
+					t.Fatal(err)
+				}
+				for i := range 3 {
+					c.startHost(fmt.Sprintf("edge-%d", i))
+				}
+				time.Sleep(40 * time.Second)
+				c.checkReported(c.start, time.Now().Add(-reportBound), reportBound, 0)
+			})
+		})
+	}
+}
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -51,6 +51,9 @@
 	// reportableFor is how long after a window's end its counts may be decided and reported.
 	// Later its object may be gone, and another host could have decided other counts.
 	reportableFor = retention - 10*time.Second
+	// maxClockSkew is by how much the clocks of two hosts may differ; the platform bounds
+	// it at 5 or 6 s. No host has decided a window that begins later.
+	maxClockSkew = 6 * time.Second
 	// recentlyActive is how long a host counts as known after it was last active, as long as
 	// at least half of the known ones are active.
 	recentlyActive = 30 * time.Second
@@ -209,11 +212,13 @@
 		return false
 	}
 	now := r.deps.Clock.Now()
-	oldest := int64(0)
+	oldest, newest := int64(0), windowAt(now.Add(maxClockSkew), r.deps.Length)
+	var unknown []string
 	r.mu.Lock()
 	for _, entry := range entries {
 		id, err := strconv.ParseInt(entry.Name, 10, 64)
-		if err != nil {
+		if err != nil || id < 0 || id > newest {
+			unknown = append(unknown, entry.Name)
 			continue
 		}
 		r.stored[id] = true
@@ -222,6 +227,9 @@
 		}
 	}
 	r.mu.Unlock()
+	if len(unknown) > 0 {
+		event.UsageWindowFailed.Log(r.deps.Logger, zap.String("step", "list"), zap.Int("unknown", len(unknown)), zap.String("first", unknown[0]))
+	}
 	if r.gathered.reportedThrough() == 0 {
 		r.askOthers(ctx)
 	}
