fix(lease): a corrupted record neither ends a duty nor lowers its epoch

What operators would see: after another writer has changed the record of a lease to one that can't be read, no host sends orders, reports usage or orders endpoints until it is removed. If it can be read, but lacks the epoch or has the largest one, the next holder begins again at epoch 0 or 1, below those that endpoints and the platform have seen. An idle time out of range let the next holder begin 0.1 s after the last renewal, while the one before still held the lease.

Cause: an unreadable record was an error at each try; a readable one was taken as it is, and its idle time overflowed.

Change: a record needs a holder, an epoch from 1 to its own revision, and an idle time that a duration holds. Each epoch took a write, so the revision of a corrupted record is above any epoch before it: the record counts as held by nobody, at that epoch, and is taken over like another host's, after it has not changed for the lease's length.

Evidence: 9 of the 11 cases of TestOddRecordIsTakenOver failed before (not "no holder", and not "long idle time", which wraps to a short one). All pass with the race detector, as do the random sequences of the package and the packages duty, orders and edge.

Left: a record that is removed begins at epoch 1 again.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -26,6 +27,9 @@
 	// call in transit.
 	Margin = 700 * time.Millisecond
 
+	// maxIdleMs is the longest idle time that a duration holds.
+	maxIdleMs = math.MaxInt64 / int64(time.Millisecond)
+
 	kindLeases = "leases"
 )
 
@@ -192,7 +196,8 @@
 
 // readRecord reads the record from the store. Its age counts from when this
 // node first read the revision. On success it returns ErrHeld, since the
-// record's age must be checked by the next call of Acquire.
+// record's age must be checked by the next call of Acquire. The error of a corrupted record
+// is returned once; the record is taken over like another node's.
 func (l *Lease) readRecord(ctx context.Context) error {
 	entry, err := l.store.Get(ctx, kindLeases, l.name, object.Fresh)
 	missing := errors.Is(err, object.ErrNotFound)
@@ -200,9 +205,10 @@
 		return fmt.Errorf("reading the lease: %w", err)
 	}
 	var seen record
+	result := ErrHeld
 	if !missing {
-		if err := json.Unmarshal(entry.Spec, &seen); err != nil {
-			return fmt.Errorf("decoding the lease: %w", err)
+		if seen, err = decodeRecord(entry); err != nil {
+			result = err
 		}
 	}
 	l.mu.Lock()
@@ -211,5 +217,20 @@
 		l.revision, l.seenAt = entry.Revision, l.now()
 	}
 	l.seen, l.recordCurrent = seen, true
-	return ErrHeld
+	return result
+}
+
+// decodeRecord decodes a record. With an error it returns one in place of a record that
+// another writer has corrupted: held by nobody, with an epoch that no holder has had, since
+// each epoch took a write and so a revision.
+func decodeRecord(entry object.Entry) (record, error) {
+	var seen record
+	err := json.Unmarshal(entry.Spec, &seen)
+	if err == nil && (seen.Holder == "" || seen.Epoch == 0 || seen.Epoch > entry.Revision || seen.IdleMs < 0 || seen.IdleMs > maxIdleMs) {
+		err = fmt.Errorf("epoch %d of %q at revision %d, idle for %d ms", seen.Epoch, seen.Holder, entry.Revision, seen.IdleMs)
+	}
+	if err != nil {
+		return record{Epoch: entry.Revision}, fmt.Errorf("decoding the lease: %w", err)
+	}
+	return seen, nil
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -118,3 +119,37 @@
 		}
 	})
 }
+
+// A record that another writer has corrupted must not end the duty, nor lower the epoch.
+func TestOddRecordIsTakenOver(t *testing.T) {
+	for name, spec := range map[string]string{
+		"no json": "?", "null": "null", "empty": "{}", "of another type": `[1]`, "deeply nested": strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000),
+		"negative epoch": `{"holder":"a","incarnation":1,"epoch":-1}`, "no holder": `{"epoch":3}`,
+		"negative idle time": `{"holder":"a","incarnation":1,"epoch":1,"released":true,"idle_ms":-9000000000000000}`,
+		"long idle time":     `{"holder":"a","incarnation":1,"epoch":1,"released":true,"idle_ms":9223372036854775807}`,
+		"no epoch":           `{"holder":"a","incarnation":1}`, "large epoch": `{"holder":"a","incarnation":1,"epoch":18446744073709551615}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			store, clk := memory.New(), &clock{at: time.Hour}
+			a, b := newLease(store, "a", clk), newLease(store, "b", clk)
+			mustAcquire(t, a)
+			before, _ := a.Held()
+			if _, err := store.Replace(t.Context(), kindLeases, "orders", []byte(spec), 0); err != nil {
+				t.Fatal(err)
+			}
+			for clk.at += time.Millisecond; clk.at < time.Hour+testLease; clk.at += 100 * time.Millisecond {
+				if b.Acquire(t.Context()) == nil {
+					t.Fatalf("taken over %v after the holder's last renewal", clk.at-time.Hour)
+				}
+			}
+			clk.at += testLease + testTakeoverDelay
+			mustAcquire(t, b)
+			if epoch, _ := b.Held(); epoch <= before {
+				t.Errorf("epoch %d after %d", epoch, before)
+			}
+			if a.Acquire(t.Context()) == nil {
+				t.Error("both hold the lease")
+			}
+		})
+	}
+}
