refactor(batch): one name for the question whether the store must be asked

mayLackResults and mayLackChunks were easily mixed up; both are mustCheck now. The comments of Checked say what it rests on: an owner that knows of no other one answers although the store is silent. No change of what is done.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -95,8 +95,9 @@
 		Total   int
 		Next    int
 		Results []Result
-		// Checked reports that a page without results is right: the store has none at the
-		// position either. A node of an older release does not state it.
+		// Checked reports that the node which owns the batch has asked the store before it
+		// returned a page without results, unless the store did not answer and the node knows
+		// of no other owner. A node of an older release does not state it.
 		Checked bool
 	}
 
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -295,7 +295,7 @@
 		changed := j.changed
 		complete := page.Next >= page.Total && after <= page.Total
 		stopWaiting := j.results.Ended() || complete || wait <= 0
-		required := k.mayLackResults(j, after)
+		required := k.mustCheck(j, after)
 		check := required || j.tail.outdated(k.deps.Clock())
 		k.mu.Unlock()
 		if len(page.Results) > 0 || complete {
@@ -325,13 +325,13 @@
 	}
 }
 
-// mayLackResults reports whether the store may hold results that this node
-// lacks, as far as it has noticed. The caller holds the lock.
-func (k *Keeper) mayLackResults(j *job, after int) bool {
+// mustCheck reports whether a read must not be answered before the store has been asked
+// for further results. The caller holds the lock.
+func (k *Keeper) mustCheck(j *job, after int) bool {
 	now := k.deps.Clock()
 	suspended := now-k.sweptAt > pauseLimit
 	unsettled := j.results.Ended() || suspended || time.Since(k.deps.Peers.LastStatusChange()) < uncertainPeriod
-	return after > j.results.Durable() || j.tail.mayLackChunks(now, unsettled)
+	return after > j.results.Durable() || j.tail.mustCheck(now, unsettled)
 }
 
 // checkNextChunk is readNextChunk. If the check is not required it has a short time, and the
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -105,9 +105,12 @@
 	return names
 }
 
-func (p clusterPeers) Keepers() []string           { return p.ActiveNames() }
-func (p clusterPeers) Incarnation(string) uint64   { return 1 }
-func (p clusterPeers) Discovered() bool            { return !p.cluster.undiscovered }
+func (p clusterPeers) Keepers() []string         { return p.ActiveNames() }
+func (p clusterPeers) Incarnation(string) uint64 { return 1 }
+func (p clusterPeers) Discovered() bool          { return !p.cluster.undiscovered }
+
+// LastStatusChange tells keepers of no change, so that they have to notice others by
+// themselves.
 func (p clusterPeers) LastStatusChange() time.Time { return time.Time{} }
 
 func (p clusterPeers) Notify(notification Notification) {
--- a/batch/tail.go
+++ b/batch/tail.go
@@ -2,16 +2,18 @@
 
 import "time"
 
-// confirmTTL is how long the store's answer that there are no further results
-// is trusted; a position that was read must be readable a second later.
-const confirmTTL = 400 * time.Millisecond
-
-// tailCheckTimeout limits the question of a keeper that knows of no other one. Its reader
-// waits for the answer.
-const tailCheckTimeout = 300 * time.Millisecond
-
-// tailState decides whether a keeper must ask the store before it says that a batch has no
-// further results. A keeper that is the only one to write chunks has them all in memory.
+const (
+	// confirmTTL is how long the store's answer that there are no further results
+	// is trusted; a position that was read must be readable a second later.
+	confirmTTL = 400 * time.Millisecond
+	// tailCheckTimeout limits the read of the next chunk by a keeper that knows of no other
+	// one. Its reader waits for it.
+	tailCheckTimeout = 300 * time.Millisecond
+)
+
+// tailState decides whether a keeper asks the store before it says that a batch has no
+// further results. The only keeper that writes chunks has them all in memory, but one that
+// others take for dead may not know that it is not the only one.
 //
 // It is designed for keepers that leave, are suspended or are taken for dead while their
 // batch goes on elsewhere, and for readers that still ask them.
@@ -38,15 +40,14 @@
 	}
 }
 
-// mayLackChunks reports whether the store may have chunks that are not in memory.
+// mustCheck reports whether the store must be asked for chunks that are not in memory.
 // Unsettled reports that a host was found dead or alive a short time ago, or that the batch
 // has ended, after which this keeper writes nothing and so learns of no chunk by itself.
-func (s *tailState) mayLackChunks(now time.Duration, unsettled bool) bool {
+func (s *tailState) mustCheck(now time.Duration, unsettled bool) bool {
 	return (s.shared || unsettled) && s.outdated(now)
 }
 
-// outdated reports whether it is too long ago that this keeper had all stored chunks. One that
-// others take for dead may not know that it is not the only one.
+// outdated reports whether it is too long ago that this keeper had all stored chunks.
 func (s *tailState) outdated(now time.Duration) bool {
 	return !s.confirmed || now-s.confirmedAt >= confirmTTL
 }
--- a/batch/tail_test.go
+++ b/batch/tail_test.go
@@ -33,7 +33,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var s tailState
 			tc.events(&s)
-			check.Equal(t, "may lack chunks", s.mayLackChunks(now, tc.unsettled), tc.want)
+			check.Equal(t, "must check", s.mustCheck(now, tc.unsettled), tc.want)
 		})
 	}
 }
