fix(node): a leaving node serves until no caller can have its address

Cause: a leaving node served for the lifetime of addresses from when it began to leave. Its peers give its address to callers until they have learned that it leaves, 9 ms later in the log of the failure, and the lifetime counts from then.

Change: it serves for the time in which peers learn of it and the lifetime, one after the other.

--- a/node/node.go
+++ b/node/node.go
@@ -37,8 +37,8 @@
 	"github.com/currantloft/currantloft/wirepb"
 )
 
-// leaveSpreadTime is the minimum time for which a leaving node keeps serving, so
-// that its peers learn that it leaves.
+// leaveSpreadTime is how long it takes until a node's peers have learned that it leaves.
+// Until then they give its address to callers.
 const leaveSpreadTime = 100 * time.Millisecond
 
 type (
@@ -198,7 +198,7 @@
 	event.NodeLeaving.Log(n.logger, zap.String("node", n.settings.Name()))
 	n.members.Leave()
 	deadline := time.After(n.settings.DrainTimeout())
-	time.Sleep(max(leaveSpreadTime, n.settings.AddressLifetime()))
+	time.Sleep(leaveSpreadTime + n.settings.AddressLifetime())
 	_ = n.machine.Fire("lifetime_over")
 	n.entry.RejectRequests()
 	for _, idle := range []<-chan struct{}{n.entry.Idle(), n.peerCalls.Idle()} {
