--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,6 +39,8 @@
 	"refused": runRefused,
 	"hedge":   runHedge,
 	"crash":   runCrash,
+	"stray":   runStray,
+	"drain":   runDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -99,10 +99,19 @@
 		return verdict{}, err
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	answers := make(map[string]int)
-	operations := make(map[string][]string)
-	for i := range onceRequests {
+	answers, operations := s.sendOperations(client, onceRequests, oncePause, func(i int) {
 		grey.set(trouble && i >= greyFrom && i < greyTo)
+	})
+	return judgeRefused(s, answers, operations), nil
+}
+
+// sendOperations sends one operation after another, and calls before with the number of
+// each. A requester sends an operation again only after a promise that it has not run. It
+// returns the statuses of the attempts, and the attempts of each operation.
+func (s *site) sendOperations(client *http.Client, count int, pause time.Duration, before func(i int)) (answers map[string]int, operations map[string][]string) {
+	answers, operations = make(map[string]int), make(map[string][]string)
+	for i := range count {
+		before(i)
 		operation := fmt.Sprintf("operation-%d", i)
 		for attempt := range 2 {
 			id := fmt.Sprintf("%08x%08x", i+1, attempt+1)
@@ -110,14 +119,13 @@
 			status, promised := s.sendOnce(client, edge, id, operation)
 			answers[id] = status
 			operations[operation] = append(operations[operation], id)
-			// A requester sends such a request again only after a promise that it has not run.
 			if !promised {
 				break
 			}
 		}
-		time.Sleep(oncePause)
+		time.Sleep(pause)
 	}
-	return judgeRefused(s, answers, operations), nil
+	return answers, operations
 }
 
 // sendOnce sends one attempt. It reports whether its status promises that it has not run
--- a/review/standin/sampler.go
+++ b/review/standin/sampler.go
@@ -190,7 +190,12 @@
 
 // sign sets the digest of an answer.
 func sign(w http.ResponseWriter, id string, body []byte) {
+	w.Header().Set("Response-Signature", signature(id, body))
+}
+
+// signature returns the digest of an answer.
+func signature(id string, body []byte) string {
 	sum := fnv.New64a()
 	_, _ = sum.Write(body)
-	w.Header().Set("Response-Signature", "3e1b.07."+id+"."+strconv.FormatUint(sum.Sum64(), 16))
+	return "3e1b.07." + id + "." + strconv.FormatUint(sum.Sum64(), 16)
 }
