--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -63,6 +63,9 @@
 		return exitNotRun
 	}
 	defer s.Close()
+	// A caught signal has its default action in the processes that are started, an ignored
+	// one, as under nohup, would stay ignored there.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
