--- a/review/standin/crash.go
+++ b/review/standin/crash.go
@@ -100,8 +100,8 @@
 	sign(w, id, []byte(id))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", "1")
-	fmt.Fprintf(w, "id: %d\ndata: %s:%d\n\n", n, id, n)
 	// A requester that has left does not matter.
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s:%d\n\n", n, id, n)
 	_ = http.NewResponseController(w).Flush()
 	time.Sleep(eventPause)
 }
--- a/review/standin/hedge.go
+++ b/review/standin/hedge.go
@@ -24,10 +24,10 @@
 	eventPause   = 50 * time.Millisecond
 	slowFactor   = 3.5
 	streamEvents = 40
-	streams      = 60
-	streamGap    = 250 * time.Millisecond
+	streams      = 90
+	streamGap    = 150 * time.Millisecond
 	// slowFrom and slowTo are when the sampler is slow, counted in streams.
-	slowFrom, slowTo = 10, 40
+	slowFrom, slowTo = 20, 70
 	// streamDeadline is the requester's time budget.
 	streamDeadline = 12 * time.Second
 	// overlapLimit is how long the sampler before may go on working, by the rule.
@@ -78,7 +78,6 @@
 	firstAt time.Time
 	lastAt  time.Time
 	events  int
-	ended   string
 }
 
 // runHedge sends streams that may be resumed. For some seconds one sampler is slow.
--- a/review/standin/sampler.go
+++ b/review/standin/sampler.go
@@ -143,7 +143,7 @@
 	}
 	if r.URL.Path == "/currantloft/report" {
 		header.Set("Content-Type", "application/json")
-		fmt.Fprintf(w, `{"phase":"both","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kv_used":0,"kv_total":90000,"handles":0}`, e.options.model)
+		_, _ = fmt.Fprintf(w, `{"phase":"both","models":[{"name":%q,"version":1,"adapters":[]}],"busy":false,"sequence":0,"queued":0,"active":0,"kv_used":0,"kv_total":90000,"handles":0}`, e.options.model)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -47,14 +47,13 @@
 
 	// process is one machine with one role of the deploy file.
 	process struct {
-		name, ip                    string
-		frontend, ready, registry   string
-		arguments                   []string
-		settings, log               string
-		mu                          sync.Mutex
-		cmd                         *exec.Cmd
-		done                        chan struct{}
-		internalFirst, internalLast int
+		name, ip                  string
+		frontend, ready, registry string
+		arguments                 []string
+		settings, log             string
+		mu                        sync.Mutex
+		cmd                       *exec.Cmd
+		done                      chan struct{}
 	}
 )
 
