--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -18,13 +18,14 @@
 	plainSamplers = 7
 	plainSlots    = 6
 	onceWork      = 25 * time.Millisecond
-	onceRequests  = 400
-	oncePause     = 40 * time.Millisecond
-	onceDeadline  = 2 * time.Second
+	// onceTime is how long requests are sent, oncePause the time between two of a requester.
+	onceTime     = 15 * time.Second
+	oncePause    = 15 * time.Millisecond
+	onceDeadline = 2 * time.Second
 	// failedShare is the share of its requests that a failing sampler fails.
 	failedShare = 0.4
-	// greyFrom and greyTo are when the sampler fails, counted in requests.
-	greyFrom, greyTo = 100, 300
+	// greyFrom and greyTo are when the sampler fails, from the first request.
+	greyFrom, greyTo = 5 * time.Second, 10 * time.Second
 )
 
 // onceConfig is a desired state with one route whose requests may run once at most.
@@ -99,32 +100,43 @@
 		return verdict{}, err
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	answers, operations := s.sendOperations(client, onceRequests, oncePause, func(i int) {
-		grey.set(trouble && i >= greyFrom && i < greyTo)
+	answers, operations := s.sendOperations(client, 1, func(at time.Duration) {
+		grey.set(trouble && at >= greyFrom && at < greyTo)
 	})
 	return judgeRefused(s, answers, operations), nil
 }
 
-// sendOperations sends one operation after another, and calls before with the number of
-// each. A requester sends an operation again only after a promise that it has not run. It
-// returns the statuses of the attempts, and the attempts of each operation.
-func (s *site) sendOperations(client *http.Client, count int, pause time.Duration, before func(i int)) (answers map[string]int, operations map[string][]string) {
+// sendOperations lets requesters send one operation after another, and calls before with
+// the time since the first one. A requester sends an operation again only after a promise
+// that it has not run. It returns the statuses of the attempts, and the attempts of each
+// operation.
+func (s *site) sendOperations(client *http.Client, requesters int, before func(at time.Duration)) (answers map[string]int, operations map[string][]string) {
 	answers, operations = make(map[string]int), make(map[string][]string)
-	for i := range count {
-		before(i)
-		operation := fmt.Sprintf("operation-%d", i)
-		for attempt := range 2 {
-			id := fmt.Sprintf("%08x%08x", i+1, attempt+1)
-			edge := s.edges[(i+attempt)%len(s.edges)]
-			status, promised := s.sendOnce(client, edge, id, operation)
-			answers[id] = status
-			operations[operation] = append(operations[operation], id)
-			if !promised {
-				break
+	var mu sync.Mutex
+	var pending sync.WaitGroup
+	start := time.Now()
+	for n := range requesters {
+		pending.Go(func() {
+			for i := n; time.Since(start) < onceTime; i += requesters {
+				before(time.Since(start))
+				operation := fmt.Sprintf("operation-%d", i)
+				for attempt := range 2 {
+					id := fmt.Sprintf("%08x%08x", i+1, attempt+1)
+					edge := s.edges[(i/requesters+attempt)%len(s.edges)]
+					status, promised := s.sendOnce(client, edge, id, operation)
+					mu.Lock()
+					answers[id] = status
+					operations[operation] = append(operations[operation], id)
+					mu.Unlock()
+					if !promised {
+						break
+					}
+				}
+				time.Sleep(oncePause)
 			}
-		}
-		time.Sleep(pause)
+		})
 	}
+	pending.Wait()
 	return answers, operations
 }
 
--- a/review/standin/sampler.go
+++ b/review/standin/sampler.go
@@ -136,6 +136,9 @@
 func (e *sampler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	header := w.Header()
 	header.Set("Keep-Alive", "timeout=10")
+	if id := r.Header.Get("Attempt-Id"); id != "" {
+		header.Set("Attempt-Id", id)
+	}
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != e.id() {
 		header.Set("Instance-Id", e.id())
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/review/standin/stray.go
+++ b/review/standin/stray.go
@@ -18,11 +18,10 @@
 	strayShare = 0.02
 	// strayBytes is what it sends where the next answer is expected: an error without an id.
 	strayBytes = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 11\r\n\r\nunavailable"
-	// strayRequests is the number of requests, strayPause the time between two of them.
-	strayRequests = 1000
-	strayPause    = 30 * time.Millisecond
-	// strayFrom and strayTo are when the samplers garble, counted in requests.
-	strayFrom, strayTo = 100, 900
+	// strayRequesters is the number of requesters.
+	strayRequesters = 4
+	// strayFrom and strayTo are when the samplers garble, from the first request.
+	strayFrom, strayTo = 5 * time.Second, 10500 * time.Millisecond
 )
 
 // strayState says whether samplers garble now, and after which answers.
@@ -86,9 +85,9 @@
 		return verdict{}, err
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	answers, operations := s.sendOperations(client, strayRequests, strayPause, func(i int) {
+	answers, operations := s.sendOperations(client, strayRequesters, func(at time.Duration) {
 		for _, state := range states {
-			state.set(trouble && i >= strayFrom && i < strayTo)
+			state.set(trouble && at >= strayFrom && at < strayTo)
 		}
 	})
 	return judgeRefused(s, answers, operations), nil
