feat(mirror): log updates that are older than the copy

Logs could not tell a copy that an old update kept from listing from one that a wrong merge made complete: nothing was logged of an update that changes nothing. Event 814 names the kind, the update's revision and that of the copy.

--- a/event/event.go
+++ b/event/event.go
@@ -98,6 +98,7 @@
 	StoreRegained         = define(801, "store_regained", zapcore.InfoLevel)
 	UpdateMissed          = define(812, "update_missed", zapcore.InfoLevel)
 	ObjectUnreadable      = define(813, "object_unreadable", zapcore.WarnLevel)
+	UpdateOutdated        = define(814, "update_outdated", zapcore.InfoLevel)
 	WatchFailed           = define(802, "watch_failed", zapcore.WarnLevel)
 	EndpointEntryRejected = define(803, "endpoint_entry_rejected", zapcore.WarnLevel)
 	EndpointEntryChanged  = define(804, "endpoint_entry_changed", zapcore.InfoLevel)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -525,6 +525,10 @@
 		if c := m.kinds[update.Kind]; c != nil {
 			c.apply(c.unknown(update.Changes), update.Unavailable)
 			known := c.revision
+			if update.Names != 0 && update.Revision < known {
+				event.UpdateOutdated.Log(m.logger, zap.String("kind", update.Kind), zap.Uint64("revision", update.Revision),
+					zap.Uint64("copy_revision", known))
+			}
 			incomplete := c.receive(update)
 			// A watch may be late, and an update may be overtaken: only the newest list
 			// tells that nothing has changed.
