fix(mirror): an update confirms a copy as of when the store was read

Callers on added routes got 404, or were sent by old routes, at hosts that were in touch, over 3 s after the change had been acknowledged.

Cause: a host that is not the first lists for itself when it hears nothing for 2.4 of 3 s. Each update began this wait anew, however old its content. What a hub sends while it is cut off waits in the kernel, and is retransmitted for up to a second and a half after the cut has healed; the sender's time-out of a second ends the call and does not recall the bytes. The class: currency counted from the arrival of a message and not from the reading behind it. Age, by which keys and resumed streams are decided, counted the same way.

Change: an update says when the store was read, by the boot clock of its receiver: the reply to each update carries the receiver's clock, which gives the sender a lower bound that no delay can break. Where it is unknown, as from the release before, an update brings its changes but confirms nothing. The wait and Age count from the reading. The first update to a host that has started confirms nothing, the second one does.

TestRandomVersionsAndRequests took for granted that an update is on its way for a second at most; it now delivers at any time and allows no slack, and fails with the receipt counted ("refuses k1, which was added 3.279s ago; its copy is 2.135s old"). In TestAge the cases have the age that they must have; "an update from a list" without a time is that of an older release now, and confirms nothing.

--- a/edge/encode.go
+++ b/edge/encode.go
@@ -12,10 +12,15 @@
 	"github.com/currantloft/currantloft/wirepb"
 )
 
-func encodeUpdates(updates []mirror.Update) *wirepb.StoreNews {
+// encodeUpdates encodes updates for a host whose boot clock is ahead of this host's by at
+// least the given time, if that is known.
+func encodeUpdates(updates []mirror.Update, ahead time.Duration, known bool) *wirepb.StoreNews {
 	out := &wirepb.StoreNews{}
 	for _, update := range updates {
 		kind := &wirepb.KindNews{Kind: update.Kind, At: update.Revision, Previous: update.Previous, Away: update.Unavailable, Names: update.Names}
+		if known && update.ReadAt > 0 {
+			kind.ReadMs = max(0, (update.ReadAt + ahead).Milliseconds())
+		}
 		for _, c := range update.Changes {
 			kind.Changes = append(kind.Changes, &wirepb.StoreChange{
 				Name: c.Entry.Name, Revision: c.Entry.Revision, Spec: c.Entry.Spec, Removed: c.Removed,
@@ -31,6 +36,7 @@
 	for _, kind := range in.GetKinds() {
 		update := mirror.Update{
 			Kind: kind.GetKind(), Revision: kind.GetAt(), Previous: kind.GetPrevious(), Unavailable: kind.GetAway(), Names: kind.GetNames(),
+			ReadAt: time.Duration(max(0, kind.GetReadMs())) * time.Millisecond,
 		}
 		for _, c := range kind.GetChanges() {
 			update.Changes = append(update.Changes, object.Change{
--- a/edge/encode_test.go
+++ b/edge/encode_test.go
@@ -11,6 +11,8 @@
 	"github.com/currantloft/currantloft/mirror"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/poison"
+	"github.com/currantloft/currantloft/roster"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -61,7 +63,42 @@
 			{Entry: object.Entry{Name: "n", Revision: 6, Spec: []byte("{}")}},
 			{Entry: object.Entry{Name: "o", Revision: 7}, Removed: true},
 		}}}
-		check.Equal(t, "changes", decodeUpdates(roundTrip(t, encodeUpdates(want), &wirepb.StoreNews{})), want)
+		check.Equal(t, "changes", decodeUpdates(roundTrip(t, encodeUpdates(want, 0, false), &wirepb.StoreNews{})), want)
+	})
+	t.Run("when the store was read", func(t *testing.T) {
+		for name, tc := range map[string]struct {
+			readAt, ahead time.Duration
+			known         bool
+			want          time.Duration
+		}{
+			"by the receiver's clock":            {5 * time.Second, 2 * time.Minute, true, 125 * time.Second},
+			"by one that started later":          {5 * time.Minute, -4 * time.Minute, true, time.Minute},
+			"before the receiver started":        {5 * time.Second, -time.Minute, true, 0},
+			"the receiver's clock is not known":  {5 * time.Second, 0, false, 0},
+			"the update is not from a list":      {0, 2 * time.Minute, true, 0},
+			"in whole milliseconds, not too new": {1999 * time.Microsecond, 0, true, time.Millisecond},
+		} {
+			t.Run(name, func(t *testing.T) {
+				sent := encodeUpdates([]mirror.Update{{Kind: "k", Revision: 5, ReadAt: tc.readAt}}, tc.ahead, tc.known)
+				check.Equal(t, "read at", decodeUpdates(roundTrip(t, sent, &wirepb.StoreNews{}))[0].ReadAt, tc.want)
+			})
+		}
+	})
+	t.Run("clock of a host", func(t *testing.T) {
+		var clocks hostClocks
+		h := roster.Host{Name: "h", Incarnation: 1}
+		_, known := clocks.ahead(h)
+		check.Equal(t, "known before an answer", known, false)
+		sentAt := waits.Boottime()
+		clocks.record(h, (sentAt + time.Hour).Milliseconds())
+		ahead, known := clocks.ahead(h)
+		check.Equal(t, "known", known, true)
+		check.Equal(t, "never too far ahead", ahead <= time.Hour && ahead > 59*time.Minute, true)
+		clocks.record(h, 0)
+		_, known = clocks.ahead(h)
+		check.Equal(t, "known after an answer of an older release", known, true)
+		_, known = clocks.ahead(roster.Host{Name: "h", Incarnation: 2})
+		check.Equal(t, "known after the host has started again", known, false)
 	})
 	t.Run("requests that crash endpoints", func(t *testing.T) {
 		want := []poison.Suspect{{Fingerprint: 1 << 63, Crashes: 3, Remaining: time.Minute}, {Fingerprint: 1}}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -25,6 +25,7 @@
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/rendez"
 	"github.com/currantloft/currantloft/roster"
+	"github.com/currantloft/currantloft/waits"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -49,6 +50,7 @@
 	logger *zap.Logger
 	// updates holds the changes that are to be passed on to this hub's children.
 	updates *childUpdates
+	clocks  hostClocks
 }
 
 var _ batch.Peers = (*peerClient)(nil)
@@ -126,10 +128,21 @@
 	if !p.IsHub() {
 		return
 	}
-	p.send(p.Hubs(), &wirepb.Frame{Body: &wirepb.Frame_StoreNews{StoreNews: encodeUpdates(updates)}})
+	p.sendUpdates(p.Hubs(), updates)
 	p.updates.add(updates)
 }
 
+// sendUpdates sends changes of the store to the hosts, with the time at which the store was
+// read by the clock of each.
+func (p *peerClient) sendUpdates(hosts []roster.Host, updates []mirror.Update) {
+	var pending sync.WaitGroup
+	for _, h := range hosts {
+		ahead, known := p.clocks.ahead(h)
+		call := &wirepb.Frame{Body: &wirepb.Frame_StoreNews{StoreNews: encodeUpdates(updates, ahead, known)}}
+		pending.Go(func() { p.clocks.record(h, p.notify(h, call).GetBatchPage().GetClockMs()) })
+	}
+}
+
 // passOn sends a message of a peer to the hosts that belong to this one.
 func (p *peerClient) passOn(call *wirepb.Frame) { p.send(p.Children(), call) }
 
@@ -165,26 +178,32 @@
 	return ok && first == p.Self().Name
 }
 
-// send sends a frame to the hosts and retries a failed call once within
-// notifyTimeout. The returned group is done once each host has answered or failed.
+// send sends a frame to the hosts. The returned group is done once each host has answered
+// or failed.
 func (p *peerClient) send(hosts []roster.Host, call *wirepb.Frame) *sync.WaitGroup {
 	var pending sync.WaitGroup
 	for _, h := range hosts {
-		pending.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-			defer cancel()
-			_, err := p.pool.Do(ctx, h.PeerAddress, call)
-			if err != nil && ctx.Err() == nil {
-				_, err = p.pool.Do(ctx, h.PeerAddress, call)
-			}
-			if err != nil {
-				event.HostNotNotified.Log(p.logger, zap.String("host", h.Name), zap.Error(err))
-			}
-		})
+		pending.Go(func() { p.notify(h, call) })
 	}
 	return &pending
 }
 
+// notify sends a frame to a host, and retries a failed call once within notifyTimeout. The
+// result is nil if the host has not answered.
+func (p *peerClient) notify(h roster.Host, call *wirepb.Frame) *wirepb.Frame {
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+	defer cancel()
+	reply, err := p.pool.Do(ctx, h.PeerAddress, call)
+	if err != nil && ctx.Err() == nil {
+		reply, err = p.pool.Do(ctx, h.PeerAddress, call)
+	}
+	if err != nil {
+		event.HostNotNotified.Log(p.logger, zap.String("host", h.Name), zap.Error(err))
+		return nil
+	}
+	return reply
+}
+
 // ReadAt reads results of a batch at the node that owns it.
 func (p *peerClient) ReadAt(ctx context.Context, name, id string, after int, wait time.Duration) (batch.Page, error) {
 	frame, err := p.callHost(ctx, name, &wirepb.Frame{Body: &wirepb.Frame_BatchRead{BatchRead: &wirepb.BatchRead{
@@ -333,7 +352,7 @@
 		if e.roster.IsHub() {
 			e.peers.updates.add(updates)
 		}
-		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{}}}
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{ClockMs: waits.Boottime().Milliseconds()}}}
 	case *wirepb.Frame_BatchRests:
 		owned := e.keeper.StoreBackup(decodePartials(body.BatchRests))
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{Kept: owned}}}
--- a/edge/update.go
+++ b/edge/update.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/currantloft/currantloft/mirror"
-	"github.com/currantloft/currantloft/wirepb"
 )
 
 // childUpdateInterval is the pause between two messages with changes of the store to a
@@ -55,7 +54,7 @@
 	if closed {
 		return
 	}
-	u.peers.passOn(&wirepb.Frame{Body: &wirepb.Frame_StoreNews{StoreNews: encodeUpdates(batch)}})
+	u.peers.sendUpdates(u.peers.Children(), batch)
 }
 
 // Close drops pending changes and waits for a message that is being sent.
--- a/mirror/age_test.go
+++ b/mirror/age_test.go
@@ -17,10 +17,6 @@
 	"github.com/currantloft/currantloft/routes"
 )
 
-// maxUpdateDelay is how long an update is on its way at most; a call of a peer that takes
-// longer is ended.
-const maxUpdateDelay = time.Second
-
 type (
 	// keyFleet is a store with versions of the configuration and hosts that mirror it, in
 	// simulated time.
@@ -40,15 +36,10 @@
 		mirror *Mirror
 		table  *routes.Table
 		sent   *outbox
-		inbox  []sentUpdates
+		inbox  [][]Update
 		// cut is true if the host reaches neither the store nor other hosts.
 		cut bool
 	}
-
-	sentUpdates struct {
-		updates []Update
-		at      time.Duration
-	}
 )
 
 func newKeyFleet(hosts int, failClosed bool) *keyFleet {
@@ -131,14 +122,14 @@
 	for _, updates := range f.hosts[i].sent.sent {
 		for j, other := range f.hosts {
 			if j != i {
-				other.inbox = append(other.inbox, sentUpdates{updates: updates, at: f.now})
+				other.inbox = append(other.inbox, updates)
 			}
 		}
 	}
 	f.hosts[i].sent.sent = nil
 }
 
-// deliver lets a host receive its nth update, unless it was on the way for too long.
+// deliver lets a host receive its nth update, which may have been on the way for any time.
 func (f *keyFleet) deliver(i, n int) {
 	h := f.hosts[i]
 	if n >= len(h.inbox) {
@@ -146,8 +137,8 @@
 	}
 	u := h.inbox[n]
 	h.inbox = append(h.inbox[:n:n], h.inbox[n+1:]...)
-	if !h.cut && f.now-u.at <= maxUpdateDelay {
-		h.mirror.Apply(u.updates)
+	if !h.cut {
+		h.mirror.Apply(u)
 	}
 }
 
@@ -181,8 +172,7 @@
 			"merge": func(t *rapid.T) {
 				h := f.hosts[host(t)]
 				if len(h.inbox) > 1 {
-					merged := sentUpdates{updates: Merge(h.inbox[0].updates, h.inbox[1].updates), at: h.inbox[0].at}
-					h.inbox = append([]sentUpdates{merged}, h.inbox[2:]...)
+					h.inbox = append([][]Update{Merge(h.inbox[0], h.inbox[1])}, h.inbox[2:]...)
 				}
 			},
 			"cut":     func(t *rapid.T) { h := f.hosts[host(t)]; h.cut = !h.cut },
@@ -202,14 +192,14 @@
 func (f *keyFleet) assertDecision(t *rapid.T, i int, key string, ago time.Duration) {
 	t.Helper()
 	age := f.hosts[i].mirror.Age(kind)
-	known := age < math.MaxInt64 && ago > age+maxUpdateDelay
+	known := age < math.MaxInt64 && ago > age
 	switch d := f.request(i, key).(type) {
 	case access.Allowed:
-		if !f.current[key] && (known || f.policy.FailClosed && ago > f.policy.RevokeLimit+maxUpdateDelay) {
+		if !f.current[key] && (known || f.policy.FailClosed && ago > f.policy.RevokeLimit) {
 			t.Fatalf("host %d serves %s, which was removed %v ago; its copy is %v old", i, key, ago, age)
 		}
 	case access.Denied:
-		if f.current[key] && ago > f.policy.ConfirmLimit+maxUpdateDelay {
+		if f.current[key] && ago > f.policy.ConfirmLimit {
 			t.Fatalf("host %d refuses %s (%v), which was added %v ago; its copy is %v old", i, key, d.Cause, ago, age)
 		}
 	case access.Unsure:
@@ -246,20 +236,44 @@
 	}
 }
 
-// TestAge checks what confirms a copy.
+// TestAge checks what confirms a copy, and as of when.
 func TestAge(t *testing.T) {
-	list := Update{Kind: kind, Previous: 1, Revision: 1, Names: digest(func(yield func(string) bool) { yield("main") })}
+	const unconfirmed = time.Minute
+	readAt := func(m *Mirror, ago time.Duration) Update {
+		return Update{
+			Kind: kind, Previous: 1, Revision: 1, Names: digest(func(yield func(string) bool) { yield("main") }), ReadAt: m.clock() - ago,
+		}
+	}
 	for name, tc := range map[string]struct {
-		do        func(m *Mirror)
-		confirmed bool
+		do  func(m *Mirror)
+		age time.Duration
 	}{
-		"nothing":                  {func(*Mirror) {}, false},
-		"its list":                 {func(m *Mirror) { m.listKinds(context.Background(), false) }, true},
-		"an update from a list":    {func(m *Mirror) { m.Apply([]Update{list}) }, true},
-		"an update from a watch":   {func(m *Mirror) { m.Apply([]Update{{Kind: kind, Previous: 1, Revision: 1}}) }, false},
-		"an update after a gap":    {func(m *Mirror) { u := list; u.Previous, u.Revision = 7, 8; m.Apply([]Update{u}) }, false},
-		"an older update":          {func(m *Mirror) { u := list; u.Previous, u.Revision = 0, 0; m.Apply([]Update{u}) }, false},
-		"an update of other kinds": {func(m *Mirror) { u := list; u.Kind = "servers"; m.Apply([]Update{u}) }, false},
+		"nothing":               {func(*Mirror) {}, unconfirmed},
+		"its list":              {func(m *Mirror) { m.listKinds(context.Background(), false) }, 0},
+		"an update from a list": {func(m *Mirror) { m.Apply([]Update{readAt(m, 0)}) }, 0},
+		"a late update":         {func(m *Mirror) { m.Apply([]Update{readAt(m, 6*time.Second)}) }, 6 * time.Second},
+		"an older update": {func(m *Mirror) {
+			u := readAt(m, time.Hour)
+			u.Previous, u.Revision = 0, 0
+			m.Apply([]Update{u})
+		}, unconfirmed},
+		"one read in time to come": {func(m *Mirror) { m.Apply([]Update{readAt(m, -time.Hour)}) }, unconfirmed},
+		"an update from a watch":   {func(m *Mirror) { m.Apply([]Update{{Kind: kind, Previous: 1, Revision: 1}}) }, unconfirmed},
+		"one of an older release": {func(m *Mirror) {
+			u := readAt(m, 0)
+			u.ReadAt = 0
+			m.Apply([]Update{u})
+		}, unconfirmed},
+		"an update after a gap": {func(m *Mirror) {
+			u := readAt(m, 0)
+			u.Previous, u.Revision = 7, 8
+			m.Apply([]Update{u})
+		}, unconfirmed},
+		"an update of other kinds": {func(m *Mirror) {
+			u := readAt(m, 0)
+			u.Kind = "servers"
+			m.Apply([]Update{u})
+		}, unconfirmed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newKeyFleet(1, false)
@@ -268,14 +282,10 @@
 			f.list(0)
 			check.Equal(t, "after the first list, which may be stale", m.Age(kind), math.MaxInt64)
 			f.list(0)
-			f.now += time.Minute
+			f.now += unconfirmed
 			tc.do(m)
 			f.now += time.Second
-			want := time.Minute + time.Second
-			if tc.confirmed {
-				want = time.Second
-			}
-			check.Equal(t, "age", m.Age(kind), want)
+			check.Equal(t, "age", m.Age(kind), tc.age+time.Second)
 		})
 	}
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -95,7 +95,11 @@
 		// Names is a digest of the names of all objects at Revision, 0 if unknown. A list
 		// does not show objects that came and went since the one before; a node that
 		// holds such an object sees by the digest that it does.
-		Names   uint64
+		Names uint64
+		// ReadAt is a boot time of this node by which the store had not been read yet, so
+		// that the update holds all changes made before, 0 if unknown. It is set for updates
+		// from lists.
+		ReadAt  time.Duration
 		Changes []object.Change
 	}
 
@@ -121,8 +125,8 @@
 		mu        sync.Mutex
 		kinds     map[string]*kindCopy
 		kindOrder []string
-		// received signals that an update has confirmed all kinds that are not rare.
-		received chan struct{}
+		// confirmed signals that updates have confirmed all kinds that are not rare.
+		confirmed chan struct{}
 		// gapped signals that this node may have missed an update.
 		gapped chan struct{}
 		// freshAt is when the copy was last known to be up to date. Failing reports that a
@@ -146,9 +150,9 @@
 		removals  map[string]uint64
 		// listed is true once the copy is complete, by a list of this node's own.
 		listed bool
-		// confirmedAt is the boot time at which the copy was last known to be up to date,
-		// 0 if it never was.
-		confirmedAt time.Duration
+		// confirmedAt is the boot time up to which the copy is known to hold all changes, 0
+		// if unknown. ListedAt is when the last list began.
+		confirmedAt, listedAt time.Duration
 	}
 )
 
@@ -180,7 +184,7 @@
 		}
 		merged[i] = Update{
 			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Previous: previous, Unavailable: m.Unavailable || update.Unavailable,
-			Names: update.Names, Changes: append(changes, update.Changes...),
+			Names: update.Names, ReadAt: max(m.ReadAt, update.ReadAt), Changes: append(changes, update.Changes...),
 		}
 		if m.Revision > update.Revision {
 			merged[i].Names = m.Names
@@ -193,7 +197,7 @@
 // reach every node.
 func New(store object.Store, fleet Fleet, bound time.Duration, logger *zap.Logger, kinds ...Kind) *Mirror {
 	m := &Mirror{
-		store: store, fleet: fleet, bound: bound, logger: logger, kinds: make(map[string]*kindCopy), received: make(chan struct{}, 1),
+		store: store, fleet: fleet, bound: bound, logger: logger, kinds: make(map[string]*kindCopy), confirmed: make(chan struct{}, 1),
 		gapped: make(chan struct{}, 1), clock: waits.Boottime,
 	}
 	for _, kind := range kinds {
@@ -230,9 +234,10 @@
 // second: each watch is a call of the store and a message to each of the nodes.
 func WatchPause(nodes int) time.Duration { return time.Duration(nodes) * pausePerNode }
 
-// listLoop lists whenever the node has received no update for the pause of its
-// rank. The node of rank 0 lists after each pause or update, and a node without a
-// list of its own does so too.
+// listLoop lists whenever no update has confirmed the copy for the pause of its rank. The
+// pause is counted from when the store was read, not from when the update arrived. The
+// node of rank 0 lists after each pause or confirmation, and a node without a list of its
+// own does so too.
 func (m *Mirror) listLoop(ctx context.Context) {
 	failures, listed := 0, false
 	for ctx.Err() == nil {
@@ -243,7 +248,7 @@
 		}
 		for ctx.Err() == nil {
 			rank, nodes := m.fleet.Rank()
-			pause := ListPause(m.bound, rank, nodes)
+			pause := max(0, ListPause(m.bound, rank, nodes)-m.unconfirmedFor())
 			if failures > 0 {
 				pause = min(maxRetryPause, retryPause<<min(failures, 4))
 			}
@@ -251,7 +256,7 @@
 			gotUpdate := false
 			select {
 			case <-ctx.Done():
-			case <-m.received:
+			case <-m.confirmed:
 				gotUpdate, failures = true, 0
 			case <-m.gapped:
 				gotUpdate = true
@@ -268,6 +273,26 @@
 	}
 }
 
+// unconfirmedFor returns how long ago the copy of the kinds that are not rare was last
+// confirmed or listed.
+func (m *Mirror) unconfirmedFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock() - m.confirmedUpTo()
+}
+
+// confirmedUpTo returns the boot time at which the least current copy of the kinds that
+// are not rare was confirmed or listed. The caller holds the lock.
+func (m *Mirror) confirmedUpTo() time.Duration {
+	upTo := time.Duration(math.MaxInt64)
+	for _, c := range m.kinds {
+		if !c.kind.Rare {
+			upTo = min(upTo, max(c.confirmedAt, c.listedAt))
+		}
+	}
+	return upTo
+}
+
 // fillGap lists for this node alone, unless the missing update arrives meanwhile.
 func (m *Mirror) fillGap(ctx context.Context) {
 	if waits.For(ctx, gapGrace) != nil {
@@ -312,10 +337,12 @@
 			}
 			return false
 		}
-		updates = append(updates, m.applyList(kind, entries, revision, unavailable))
+		update := m.applyList(kind, entries, revision, unavailable)
 		if freshness == object.Fresh {
-			m.confirm(kind, listedAt)
+			update.ReadAt = listedAt
 		}
+		m.recordList(kind, listedAt, freshness)
+		updates = append(updates, update)
 	}
 	if broadcast && !first {
 		m.fleet.Broadcast(updates)
@@ -455,17 +482,21 @@
 	return c != nil && c.listed
 }
 
-// confirm records that the copy of a kind was up to date at a boot time.
-func (m *Mirror) confirm(kind string, at time.Duration) {
+// recordList records that a list of a kind that began at a boot time is in the copy. A
+// fresh list confirms the copy.
+func (m *Mirror) recordList(kind string, at time.Duration, freshness object.Freshness) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.kinds[kind]
-	c.confirmedAt = max(c.confirmedAt, at)
+	c.listedAt = max(c.listedAt, at)
+	if freshness == object.Fresh {
+		c.confirmedAt = max(c.confirmedAt, at)
+	}
 }
 
-// Age returns how long ago the copy of a kind was last known to be up to date: when the
-// last fresh list was sent, or an update from a list arrived with nothing missing. It
-// counts time in which the system was suspended, but not how long an update was on its way.
+// Age returns for how long the copy of a kind may lack changes: since the last fresh list
+// began whose result is in the copy, by this node's own call or by an update with nothing
+// missing. It counts time in which the system was suspended.
 func (m *Mirror) Age(kind string) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -516,37 +547,35 @@
 	return applied
 }
 
-// Apply applies the changes that another node sent.
+// Apply applies the changes that another node sent. The updates may have been on their way
+// for any time: when they arrive tells nothing of how current they are.
 func (m *Mirror) Apply(updates []Update) {
 	m.mu.Lock()
-	missing := false
-	kinds := make(map[string]bool, len(updates))
+	missing, upTo := false, m.confirmedUpTo()
 	for _, update := range updates {
-		if c := m.kinds[update.Kind]; c != nil {
-			c.apply(c.unknown(update.Changes), update.Unavailable)
-			known := c.revision
-			if update.Names != 0 && update.Revision < known {
-				event.UpdateOutdated.Log(m.logger, zap.String("kind", update.Kind), zap.Uint64("revision", update.Revision),
-					zap.Uint64("copy_revision", known))
-			}
-			incomplete := c.receive(update)
-			// A watch may be late, and an update may be overtaken: only the newest list
-			// tells that nothing has changed.
-			if !incomplete && c.listed && update.Names != 0 && update.Revision >= known {
-				c.confirmedAt = m.clock()
-			}
-			missing = incomplete && c.listed || missing
-			kinds[update.Kind] = true
+		c := m.kinds[update.Kind]
+		if c == nil {
+			continue
+		}
+		c.apply(c.unknown(update.Changes), update.Unavailable)
+		known := c.revision
+		incomplete := c.receive(update)
+		missing = incomplete && c.listed || missing
+		if update.Revision >= known {
+			m.freshAt = time.Now()
+		} else if update.Names != 0 {
+			event.UpdateOutdated.Log(m.logger, zap.String("kind", update.Kind), zap.Uint64("revision", update.Revision),
+				zap.Uint64("copy_revision", known))
+		}
+		// A time to come is of a clock before this node's system was started again.
+		if !incomplete && c.listed && update.ReadAt <= m.clock() {
+			c.confirmedAt = max(c.confirmedAt, update.ReadAt)
 		}
 	}
-	m.freshAt = time.Now()
-	current := true
-	for name, c := range m.kinds {
-		current = current && (c.kind.Rare || kinds[name])
-	}
+	confirmed := m.confirmedUpTo() > upTo
 	m.mu.Unlock()
-	if current {
-		signal(m.received)
+	if confirmed {
+		signal(m.confirmed)
 	}
 	if missing {
 		signal(m.gapped)
