fix(mirror): a merge keeps the newest change of each object

Cause: Merge took the change of the update that arrived later. A host lists and watches in two loops that send outside the lock, and every host that hears nothing sends its own list, so updates overtake each other. config@104 (previous 99, up to 105) and an overtaken config@99 gave config@99, complete to 105; the receiver would drop the newer change as known.

Evidence: TestMissedChangeIsNeverClaimed merged in order of arrival only.

--- a/mirror/claim_test.go
+++ b/mirror/claim_test.go
@@ -94,7 +94,8 @@
 }
 
 // TestMissedChangeIsNeverClaimed lists, watches, restarts and passes updates on between
-// three nodes, in random order. Updates are lost, overtake each other and are merged. A
+// three nodes, in random order. Updates are lost, overtake each other and are merged in any
+// order. A
 // node that counts its copy as complete up to a revision must know each change up to it.
 func TestMissedChangeIsNeverClaimed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -161,7 +162,14 @@
 				if len(inbox[i]) < 2 {
 					return
 				}
-				inbox[i] = append([][]Update{Merge(inbox[i][0], inbox[i][1])}, inbox[i][2:]...)
+				first := rapid.IntRange(0, len(inbox[i])-1).Draw(t, "first")
+				second := rapid.IntRange(0, len(inbox[i])-2).Draw(t, "second")
+				if second >= first {
+					second++
+				}
+				merged := Merge(inbox[i][first], inbox[i][second])
+				inbox[i][first] = merged
+				inbox[i] = slices.Delete(slices.Clone(inbox[i]), second, second+1)
 			},
 			"": func(t *rapid.T) {
 				for i, m := range mirrors {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -156,9 +156,9 @@
 	}
 )
 
-// Merge returns updates that hold the newest change of each object in both lists. If
-// changes between two updates of a kind are missing, the merged one claims only those
-// after the gap to be complete, so that its receivers notice.
+// Merge returns updates that hold the newest change of each object in both lists, whichever
+// was sent first. If changes between two updates of a kind are missing, the merged one
+// claims only those after the gap to be complete, so that its receivers notice.
 func Merge(earlier, later []Update) []Update {
 	merged := append([]Update(nil), earlier...)
 	for _, update := range later {
@@ -168,23 +168,13 @@
 			continue
 		}
 		m := merged[i]
-		changed := make(map[string]bool, len(update.Changes))
-		for _, change := range update.Changes {
-			changed[change.Entry.Name] = true
-		}
-		var changes []object.Change
-		for _, change := range m.Changes {
-			if !changed[change.Entry.Name] {
-				changes = append(changes, change)
-			}
-		}
 		previous := min(m.Previous, update.Previous)
 		if update.Previous > m.Revision || m.Previous > update.Revision {
 			previous = max(m.Previous, update.Previous)
 		}
 		merged[i] = Update{
 			Kind: m.Kind, Revision: max(m.Revision, update.Revision), Previous: previous, Unavailable: m.Unavailable || update.Unavailable,
-			Names: update.Names, ReadAt: max(m.ReadAt, update.ReadAt), Changes: append(changes, update.Changes...),
+			Names: update.Names, ReadAt: max(m.ReadAt, update.ReadAt), Changes: mergeChanges(m.Changes, update.Changes),
 		}
 		if m.Revision > update.Revision {
 			merged[i].Names = m.Names
@@ -193,6 +183,26 @@
 	return merged
 }
 
+// mergeChanges returns the newest change of each object in both lists, the later one of two
+// with the same revision.
+func mergeChanges(earlier, later []object.Change) []object.Change {
+	changes := slices.Concat(earlier, later)
+	newest := make(map[string]int, len(changes))
+	for i, change := range changes {
+		name := change.Entry.Name
+		if j, ok := newest[name]; !ok || change.Entry.Revision >= changes[j].Entry.Revision {
+			newest[name] = i
+		}
+	}
+	var merged []object.Change
+	for i, change := range changes {
+		if newest[change.Entry.Name] == i {
+			merged = append(merged, change)
+		}
+	}
+	return merged
+}
+
 // New returns a mirror of the kinds. Bound is the time in which a change must
 // reach every node.
 func New(store object.Store, fleet Fleet, bound time.Duration, logger *zap.Logger, kinds ...Kind) *Mirror {
