fix(edge): a stopping host refuses late requests that may not end in time

A stopping host serves for 4.5 s, since callers may hold its address for so long, and closes what is left 6.8 s after SIGTERM (of 8 s). A request that came at 4.4 s with a limit of 3 s was cut at 6.8 s.

Earlier ones are served as before: most end long before their limit, and their callers can't know better.

TestStopCutsOffLateRequests (twelve callers that keep their connections, requests of 2.7 s, a limit of 3 s) failed before: requests that ran were cut at 6.8 s with "the caller left" after 2.4 s. It passes now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -56,6 +56,9 @@
 	// shutdownReserve is the part of the time for a graceful shutdown that is kept
 	// free at its end.
 	shutdownReserve = 1200 * time.Millisecond
+	// lateAfter is when in a graceful shutdown requests begin to be refused that may not end
+	// in time. A caller that still sends some then uses an old address.
+	lateAfter = 3 * time.Second
 	// itemDrainTimeout is how long a leaving node waits for running items to end.
 	itemDrainTimeout = 2500 * time.Millisecond
 	// memoryShare is the share of the process's memory limit that is set as the
@@ -79,6 +82,9 @@
 )
 
 type (
+	// stopTimes are the times of a graceful shutdown.
+	stopTimes struct{ start, end time.Time }
+
 	// Edge is one node on the prepared platform.
 	Edge struct {
 		settings    atomic.Pointer[setup.Host]
@@ -114,6 +120,8 @@
 		// guards it.
 		rejected map[string]bool
 		leaving  atomic.Bool
+		// stop is when the graceful shutdown began and ends; nil before.
+		stop atomic.Pointer[stopTimes]
 		// adminPort is the port of the operators' listener, 0 for none.
 		adminPort int
 	}
@@ -283,8 +291,9 @@
 func (e *Edge) leave(servers []*http.Server) {
 	start := time.Now()
 	event.NodeLeaving.Log(e.logger)
-	e.leaving.Store(true)
 	deadline := start.Add(e.settings.Load().GracePeriod() - shutdownReserve)
+	e.stop.Store(&stopTimes{start: start, end: deadline})
+	e.leaving.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	e.roster.Leave(ctx)
@@ -334,6 +343,19 @@
 // their connections to it.
 func (e *Edge) Leaving() bool { return e.leaving.Load() }
 
+// Takes reports whether a request that may last for the given time, 0 if without a limit,
+// can be answered before a graceful shutdown ends.
+func (e *Edge) Takes(limit time.Duration) bool {
+	stop := e.stop.Load()
+	return stop == nil || stop.takes(time.Now(), limit)
+}
+
+// takes reports whether a request that comes now may begin. Early ones are served whatever
+// they may last: most end long before their limit, and their callers can't know better.
+func (s stopTimes) takes(now time.Time, limit time.Duration) bool {
+	return now.Sub(s.start) < lateAfter || limit > 0 && !now.Add(limit).After(s.end)
+}
+
 // Routes returns the configuration in force.
 func (e *Edge) Routes() *routes.Table { return e.table.Load() }
 
--- a/integ/stop_test.go
+++ b/integ/stop_test.go
@@ -24,6 +24,9 @@
 // keptCaller sends requests on a connection that it keeps until the host is gone.
 type keptCaller struct {
 	client *http.Client
+	// path and limit are those of its requests.
+	path  string
+	limit time.Duration
 	// unanswered holds the requests that ended without a complete answer.
 	unanswered []string
 	answered   int
@@ -31,14 +34,14 @@
 
 // call sends one request.
 func (c *keptCaller) call(ctx context.Context, address, id string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/once/x", bytes.NewReader([]byte(id)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.path, bytes.NewReader([]byte(id)))
 	if err != nil {
 		return err
 	}
 	request.Host = routeHostname
 	request.GetBody = nil
 	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", "2000")
+	request.Header.Set("Deadline-Ms", fmt.Sprint(c.limit.Milliseconds()))
 	response, err := c.client.Do(request)
 	if err == nil {
 		_, err = io.Copy(io.Discard, response.Body)
@@ -58,10 +61,15 @@
 // keepCalling starts callers that keep a connection to a host until stop is closed. The
 // returned function waits for them and checks that each request which ran was answered.
 func (s *site) keepCalling(t *testing.T, h *host, stop <-chan struct{}) func() {
+	return s.keepCallingPath(t, h, stop, "/once/x", 2*time.Second)
+}
+
+// keepCallingPath is keepCalling with the path and the time limit of the requests.
+func (s *site) keepCallingPath(t *testing.T, h *host, stop <-chan struct{}, path string, limit time.Duration) func() {
 	callers := make([]*keptCaller, stopCallers)
 	var tasks sync.WaitGroup
 	for i := range callers {
-		c := &keptCaller{client: &http.Client{Transport: &http.Transport{}}}
+		c := &keptCaller{client: &http.Client{Transport: &http.Transport{}}, path: path, limit: limit}
 		callers[i] = c
 		tasks.Go(func() {
 			defer c.client.CloseIdleConnections()
@@ -111,6 +119,20 @@
 	checkAnswered()
 }
 
+// TestStopCutsOffLateRequests stops a host whose callers send requests until late in its
+// grace period that last longer than what is left of it.
+func TestStopCutsOffLateRequests(t *testing.T) {
+	s := newSite(t, 3, siteTimeout)
+	for _, e := range s.plains {
+		e.DelayAnswers(2700 * time.Millisecond)
+	}
+	h := s.hosts[0]
+	checkAnswered := s.keepCallingPath(t, h, h.ended(), judgePath+"x", 3*time.Second)
+	time.Sleep(time.Second)
+	h.signal(syscall.SIGTERM)
+	checkAnswered()
+}
+
 // TestStopCutsOffRequestsOfOtherHosts stops one host after the other under load from a
 // host that reaches endpoints only through them.
 func TestStopCutsOffRequestsOfOtherHosts(t *testing.T) {
