fix(relay): a stream is resumed unnamed only by copies as new as the request

Change: the host lists before it answers, and goes on only if the list began after the request came (Mirror.Confirm); and its copies must have been current, without a gap longer than the bound, for as long as the stream may have lasted. If the store does not answer within half a second the caller is refused as before.

TestStreamResumedAtHostOutOfStep stops a host with SIGSTOP while two endpoints of version 2 join, and has 24 streams wait there when it goes on. TestConfirmedCopyLacksChange holds the promise of Confirm in random times.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -59,6 +59,9 @@
 	// lateAfter is when in a graceful shutdown requests begin to be refused that may not end
 	// in time. A caller that still sends some then uses an old address.
 	lateAfter = 3 * time.Second
+	// settleTimeout limits the list before a stream is resumed whose first attempt is not
+	// named.
+	settleTimeout = 500 * time.Millisecond
 	// itemDrainTimeout is how long a leaving node waits for running items to end.
 	itemDrainTimeout = 2500 * time.Millisecond
 	// memoryShare is the share of the process's memory limit that is set as the
@@ -364,10 +367,18 @@
 func (e *Edge) ConfigAge() time.Duration { return e.mirror.Age(platform.KindConfig) }
 
 // settled reports whether the streaming routes have been in force for the given time, and
-// the configuration and the list of endpoints are up to date.
-func (e *Edge) settled(within time.Duration) bool {
-	at, limit := e.streamsAt.Load(), e.settings.Load().ConfigApplyLimit()
-	return at != nil && time.Since(*at) >= within && e.ConfigAge() <= limit && e.mirror.Age(platform.KindEndpoints) <= limit
+// the configuration and the list of endpoints are current and have been so for as long. It
+// lists for that, since other hosts may know of a change that this one has not heard of.
+func (e *Edge) settled(ctx context.Context, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	steady, err := e.mirror.Confirm(ctx)
+	if err != nil {
+		e.logger.Debug("resuming a stream", zap.Error(err))
+		return false
+	}
+	at := e.streamsAt.Load()
+	return at != nil && time.Since(*at) >= within && steady >= within
 }
 
 // KeyPolicy returns how the age of the configuration affects decisions on keys.
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -37,8 +37,8 @@
 	peers  *peerClient
 	fleet  *fleet.Fleet
 	// settled reports whether the streaming routes have been in force for the given time,
-	// and the configuration and the list of endpoints are up to date.
-	settled func(time.Duration) bool
+	// and the configuration and the list of endpoints are current and were so for as long.
+	settled func(context.Context, time.Duration) bool
 	logger  *zap.Logger
 	wake    chan struct{}
 
@@ -48,7 +48,7 @@
 
 var _ relay.Origins = (*origins)(nil)
 
-func newOrigins(p *peerClient, f *fleet.Fleet, settled func(time.Duration) bool, logger *zap.Logger) *origins {
+func newOrigins(p *peerClient, f *fleet.Fleet, settled func(context.Context, time.Duration) bool, logger *zap.Logger) *origins {
 	return &origins{
 		ledger: origin.NewLedger(time.Now), peers: p, fleet: f, settled: settled, logger: logger,
 		wake: make(chan struct{}, 1), pending: make(map[string]fleet.Software),
@@ -173,8 +173,8 @@
 // Sole returns the only software of a service's endpoints in the given time. Other hosts
 // may have begun streams at endpoints that this one does not know, or by a configuration
 // that it has not had.
-func (o *origins) Sole(service string, within time.Duration) (fleet.Software, bool) {
-	if !o.settled(within) {
+func (o *origins) Sole(ctx context.Context, service string, within time.Duration) (fleet.Software, bool) {
+	if !o.settled(ctx, within) {
 		return "", false
 	}
 	return o.fleet.SoleSoftware(service, within)
--- a/integ/order_test.go
+++ b/integ/order_test.go
@@ -402,3 +402,60 @@
 	}
 	t.Logf("%d of %d resumed streams went on", complete.Load(), resumed.Load())
 }
+
+// TestStreamResumedAtHostOutOfStep lets a host stand still while endpoints of a new software
+// version join, and then brings it streams that began there and broke off: it must not take
+// them for streams of the version that it knows.
+func TestStreamResumedAtHostOutOfStep(t *testing.T) {
+	const streams = 24
+	s := newSiteWith(t, 3, siteTimeout, fake.EngineOptions{Software: "v1", Mark: true}, fake.EngineOptions{Software: "v1", Mark: true})
+	config := siteConfig(2)
+	for _, route := range config["routes"].([]map[string]any) {
+		if route["name"] == "talk" {
+			route["timeout_ms"] = 1000
+		}
+	}
+	s.putObject("config", "main", config)
+	still := s.hosts[2]
+	s.eventually("the host resumes streams of the only version", func() bool {
+		p := &pieces{next: 1, software: make(map[string]bool), unnamed: true}
+		s.stream(still, fmt.Sprint("first-", time.Now().UnixNano()), "talk-1", p, func() {})
+		return p.next == fake.EventCount("talk-1")
+	})
+	stoodStill := time.Now()
+	still.signal(syscall.SIGSTOP)
+	for i := range 2 {
+		s.engines = append(s.engines, s.startEndpoint(fake.EngineOptions{
+			ID: fmt.Sprint("new", i), Service: enginePool, Models: []string{testModel}, Slots: 16,
+			EventInterval: 20 * time.Millisecond, LoadTime: 50 * time.Millisecond, Software: "v2", Mark: true,
+		}))
+	}
+	begun := make([]*pieces, streams)
+	s.eventually("the new version has begun streams", func() bool {
+		var atNew atomic.Int64
+		var tasks sync.WaitGroup
+		for i := range begun {
+			p := &pieces{leaveAt: 1, software: make(map[string]bool), unnamed: true}
+			begun[i] = p
+			tasks.Go(func() {
+				s.stream(s.hosts[0], fmt.Sprintf("talk-%d-%d", i, time.Now().UnixNano()), fmt.Sprint("talk-", i), p, func() {})
+				p.leaveAt = 0
+				if len(p.software) > 0 && !p.software["v1"] {
+					atNew.Add(1)
+				}
+			})
+		}
+		tasks.Wait()
+		return atNew.Load() > streams/4
+	})
+	var tasks sync.WaitGroup
+	statuses := make([]int, streams)
+	for i, p := range begun {
+		tasks.Go(func() { statuses[i] = s.stream(still, fmt.Sprint("again-", i), fmt.Sprint("talk-", i), p, func() {}) })
+	}
+	// The requests wait at the host when it goes on.
+	time.Sleep(resumePause)
+	still.signal(syscall.SIGCONT)
+	tasks.Wait()
+	t.Logf("answered with %v, %v after the host stood still", statuses, time.Since(stoodStill))
+}
--- a/mirror/late_test.go
+++ b/mirror/late_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,3 +46,45 @@
 		r.await(t, map[string]string{"main": "2"}, bound)
 	})
 }
+
+// TestConfirmedCopyLacksChange guards against a copy that counts as confirmed as of a call,
+// but lacks a change made before it; and against one that counts as current for the time in
+// which its host was cut off.
+func TestConfirmedCopyLacksChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, r := memory.New(), newRecorder()
+		m := New(store, fleetPeer{&testFleet{}, 1}, bound, zap.NewNop(), Kind{Name: kind, Apply: r.apply})
+		start := time.Now()
+		m.clock = func() time.Duration { return time.Hour + time.Since(start) }
+		put(t, store, "main", "0")
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		running.Go(func() { _ = m.Run(ctx) })
+		random := rand.New(rand.NewPCG(48, 0))
+		for n := 1; n <= 50; n++ {
+			time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+			put(t, store, "main", fmt.Sprint(n))
+			if _, err := m.Confirm(ctx); err != nil {
+				t.Fatal(err)
+			}
+			r.await(t, map[string]string{"main": fmt.Sprint(n)}, 0)
+		}
+		steady, err := m.Confirm(ctx)
+		if err != nil || steady < 20*time.Second {
+			t.Errorf("current for %v (%v), want all the time", steady, err)
+		}
+		store.SetFaults(memory.Faults{Refuse: true})
+		time.Sleep(2 * bound)
+		short, stop := context.WithTimeout(ctx, bound)
+		defer stop()
+		if _, err := m.Confirm(short); err == nil {
+			t.Error("confirmed while the store is unavailable")
+		}
+		store.SetFaults(memory.Faults{})
+		if steady, err := m.Confirm(ctx); err != nil || steady > bound {
+			t.Errorf("current for %v (%v) after an outage of three bounds", steady, err)
+		}
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"iter"
 	"maps"
 	"math"
@@ -127,8 +128,14 @@
 		kindOrder []string
 		// confirmed signals that updates have confirmed all kinds that are not rare.
 		confirmed chan struct{}
-		// gapped signals that this node may have missed an update.
-		gapped chan struct{}
+		// gapped signals that this node may have missed an update, and wanted that a caller of
+		// Confirm waits for a list.
+		gapped, wanted chan struct{}
+		// advanced is closed, and replaced, when a list or an update has confirmed a copy.
+		advanced chan struct{}
+		// steadySince is since when the copies have been confirmed without a gap longer than
+		// the bound.
+		steadySince time.Duration
 		// freshAt is when the copy was last known to be up to date. Failing reports that a
 		// list or a watch has failed since the last one that succeeded.
 		freshAt time.Time
@@ -208,7 +215,7 @@
 func New(store object.Store, fleet Fleet, bound time.Duration, logger *zap.Logger, kinds ...Kind) *Mirror {
 	m := &Mirror{
 		store: store, fleet: fleet, bound: bound, logger: logger, kinds: make(map[string]*kindCopy), confirmed: make(chan struct{}, 1),
-		gapped: make(chan struct{}, 1), clock: waits.Boottime,
+		gapped: make(chan struct{}, 1), wanted: make(chan struct{}, 1), advanced: make(chan struct{}), clock: waits.Boottime,
 	}
 	for _, kind := range kinds {
 		m.kinds[kind.Name] = &kindCopy{kind: kind, revisions: make(map[string]uint64), removals: make(map[string]uint64)}
@@ -271,6 +278,9 @@
 			case <-m.gapped:
 				gotUpdate = true
 				m.fillGap(ctx)
+			case <-m.wanted:
+				gotUpdate = true
+				m.listKinds(ctx, false)
 			case <-timer.C:
 			}
 			timer.Stop()
@@ -294,13 +304,55 @@
 // confirmedUpTo returns the boot time at which the least current copy of the kinds that
 // are not rare was confirmed or listed. The caller holds the lock.
 func (m *Mirror) confirmedUpTo() time.Duration {
-	upTo := time.Duration(math.MaxInt64)
+	return m.earliest(func(c *kindCopy) time.Duration { return max(c.confirmedAt, c.listedAt) })
+}
+
+// earliest returns the earliest of the times of the kinds that are not rare. The caller
+// holds the lock.
+func (m *Mirror) earliest(at func(*kindCopy) time.Duration) time.Duration {
+	earliest := time.Duration(math.MaxInt64)
 	for _, c := range m.kinds {
 		if !c.kind.Rare {
-			upTo = min(upTo, max(c.confirmedAt, c.listedAt))
+			earliest = min(earliest, at(c))
+		}
+	}
+	return earliest
+}
+
+// confirm records that the copy of a kind holds all changes made before a boot time. The
+// caller holds the lock.
+func (m *Mirror) confirm(c *kindCopy, at time.Duration) {
+	if at <= c.confirmedAt {
+		return
+	}
+	if at-c.confirmedAt > m.bound {
+		m.steadySince = at
+	}
+	c.confirmedAt = at
+	close(m.advanced)
+	m.advanced = make(chan struct{})
+}
+
+// Confirm returns once the copies of the kinds that are not rare hold all changes that were
+// made before the call, for which it lists. It returns how long they had been current
+// before, without a gap longer than the bound.
+func (m *Mirror) Confirm(ctx context.Context) (time.Duration, error) {
+	called := m.clock()
+	for {
+		m.mu.Lock()
+		steady, advanced := called-m.steadySince, m.advanced
+		confirmed := m.earliest(func(c *kindCopy) time.Duration { return c.confirmedAt }) >= called
+		m.mu.Unlock()
+		if confirmed {
+			return max(0, steady), nil
+		}
+		signal(m.wanted)
+		select {
+		case <-advanced:
+		case <-ctx.Done():
+			return 0, fmt.Errorf("confirming the copies of the store: %w", ctx.Err())
 		}
 	}
-	return upTo
 }
 
 // fillGap lists for this node alone, unless the missing update arrives meanwhile.
@@ -500,7 +552,7 @@
 	c := m.kinds[kind]
 	c.listedAt = max(c.listedAt, at)
 	if freshness == object.Fresh {
-		c.confirmedAt = max(c.confirmedAt, at)
+		m.confirm(c, at)
 	}
 }
 
@@ -579,7 +631,7 @@
 		}
 		// A time to come is of a clock before this node's system was started again.
 		if !incomplete && c.listed && update.ReadAt <= m.clock() {
-			c.confirmedAt = max(c.confirmedAt, update.ReadAt)
+			m.confirm(c, update.ReadAt)
 		}
 	}
 	confirmed := m.confirmedUpTo() > upTo
--- a/relay/pin.go
+++ b/relay/pin.go
@@ -50,7 +50,7 @@
 	if active.route.Timeout == 0 || len(active.route.Shares) != 1 {
 		return "", false
 	}
-	return active.origins.Sole(active.service, resumeTimeouts*active.route.Timeout)
+	return active.origins.Sole(ctx, active.service, resumeTimeouts*active.route.Timeout)
 }
 
 // pinStarted limits a stream that can be resumed to the software that has sent its first
--- a/relay/pin_test.go
+++ b/relay/pin_test.go
@@ -23,7 +23,7 @@
 	fleet    *fleet.Fleet
 }
 
-func (r *recordedOrigins) Sole(service string, within time.Duration) (fleet.Software, bool) {
+func (r *recordedOrigins) Sole(_ context.Context, service string, within time.Duration) (fleet.Software, bool) {
 	return r.fleet.SoleSoftware(service, within)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -128,7 +128,7 @@
 		Lookup(ctx context.Context, attempt string) (fleet.Software, bool)
 		// Sole returns the software at which all streams of a service have begun in the
 		// given time. It reports false if there may have been several.
-		Sole(service string, within time.Duration) (fleet.Software, bool)
+		Sole(ctx context.Context, service string, within time.Duration) (fleet.Software, bool)
 		// Record records that software for this host and others.
 		Record(attempt string, software fleet.Software)
 	}
