fix(roster): a host that is cut off counts no other host as dead

Hosts that were in touch all the time got no changes of the configuration for up to 1.4 s after another host's cut had healed, and batches could be taken over from hosts that were well.

Cause: a host counted two failed hellos as a death, also when it was itself cut off and nobody answered it. Back in touch, a call under way failed and the death was announced; of hosts that are not hubs the hubs believe it, and its list of hosts lacked them. In edge-hall-d-1, cut until 8.5 s, reports edge-hall-c-11 as dead at 8.626 s; 1,990 such lines from 8 to 14 s.

Change: a failed hello counts only if another host answers a hello that is sent after it; two other hubs are asked. So a cut explains neither of the two failures. A host that nobody answers for 8 s takes the others for dead as before, and a refused connection is proof as before. Hellos that were under way when another failure was counted do not count either.

--- a/roster/hello.go
+++ b/roster/hello.go
@@ -127,13 +127,13 @@
 	return targets
 }
 
-// otherHubs returns some hubs other than the parent. A host that starts may have a parent
+// otherHubs returns some hubs other than the named one. A host that starts may have a parent
 // that is gone, of which it has only read the entry. The caller holds the lock.
-func (r *Roster) otherHubs(t *topology, parent string) []Host {
+func (r *Roster) otherHubs(t *topology, except string) []Host {
 	var hubs []Host
 	for _, i := range rand.Perm(len(t.hubs)) {
 		h := t.hubs[i]
-		if p := r.hosts[h.Name]; p != nil && h.Name != parent && !p.dead && len(hubs) < startFanout {
+		if p := r.hosts[h.Name]; p != nil && h.Name != except && !p.dead && len(hubs) < startFanout {
 			hubs = append(hubs, p.host)
 		}
 	}
@@ -185,14 +185,12 @@
 // hello sends one hello to each of the hosts. Announce says whether a death that it
 // finds is to be reported to the other nodes.
 func (r *Roster) hello(ctx context.Context, hosts []Host, announce bool) {
-	r.mu.Lock()
-	call := &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: r.selfInfo(), Digest: r.digest(), Settled: r.settled()}}}
-	r.mu.Unlock()
+	call, sentAt := r.helloCall(), time.Now()
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentHellos)
 	for _, h := range hosts {
 		group.Go(func() error {
-			r.helloTo(ctx, h, call, announce)
+			r.helloTo(ctx, h, call, sentAt, announce)
 			return nil
 		})
 	}
@@ -201,21 +199,45 @@
 	}
 }
 
-func (r *Roster) helloTo(ctx context.Context, h Host, call *wirepb.Frame, announce bool) {
-	frame, err := r.sendHello(ctx, h, call)
-	died := err != nil && ctx.Err() == nil && r.recordFailure(h, err)
+func (r *Roster) helloCall() *wirepb.Frame {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return &wirepb.Frame{Body: &wirepb.Frame_Hello{Hello: &wirepb.Hello{From: r.selfInfo(), Digest: r.digest(), Settled: r.settled()}}}
+}
+
+func (r *Roster) helloTo(ctx context.Context, h Host, call *wirepb.Frame, sentAt time.Time, announce bool) {
+	err := r.sendHello(ctx, h, call, sentAt)
+	died := err != nil && ctx.Err() == nil && r.countFailure(ctx, h, sentAt, err)
 	if err != nil && !died && r.isSilentChild(h) {
 		// The host has missed its own hello too, so the second try does not wait.
-		frame, err = r.sendHello(ctx, h, call)
-		died = err != nil && ctx.Err() == nil && r.recordFailure(h, err)
+		sentAt = time.Now()
+		err = r.sendHello(ctx, h, call, sentAt)
+		died = err != nil && ctx.Err() == nil && r.countFailure(ctx, h, sentAt, err)
 	}
 	if died && announce && r.onDead != nil {
 		go r.onDead(h)
 	}
-	if err != nil {
-		return
+}
+
+// countFailure records a failed hello, after it has asked other hosts whether this node is
+// cut off itself.
+func (r *Roster) countFailure(ctx context.Context, h Host, sentAt time.Time, err error) bool {
+	failedAt, call := time.Now(), r.helloCall()
+	var group errgroup.Group
+	for _, other := range r.probeTargets(h) {
+		group.Go(func() error { return r.sendHello(ctx, other, call, failedAt) })
 	}
-	r.applyReply(frame.GetHelloReply())
+	if err := group.Wait(); err != nil {
+		r.logger.Debug("asking whether this node is cut off", zap.Error(err))
+	}
+	return r.recordFailure(h, sentAt, failedAt, err)
+}
+
+// probeTargets returns hosts to ask whether this node is cut off.
+func (r *Roster) probeTargets(failed Host) []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.otherHubs(r.topology(), failed.Name)
 }
 
 // applyReply records what the answer to a hello says.
@@ -240,10 +262,40 @@
 	}
 }
 
-func (r *Roster) sendHello(ctx context.Context, h Host, call *wirepb.Frame) (*wirepb.Frame, error) {
+// sendHello sends one hello and records the answer.
+func (r *Roster) sendHello(ctx context.Context, h Host, call *wirepb.Frame, sentAt time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	return r.pool.Do(ctx, h.PeerAddress, call)
+	frame, err := r.pool.Do(ctx, h.PeerAddress, call)
+	if err != nil {
+		return err
+	}
+	r.recordAnswer(sentAt)
+	r.applyReply(frame.GetHelloReply())
+	return nil
+}
+
+// recordAnswer records that a hello was answered which was sent at the given time.
+func (r *Roster) recordAnswer(sentAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if sentAt.After(r.answeredAt) {
+		r.answeredAt = sentAt
+	}
+}
+
+// mayBeCutOff reports whether no hello sent since another one failed was answered, though
+// there are hosts that could have. The caller holds the lock.
+func (r *Roster) mayBeCutOff(failed string, failedAt time.Time) bool {
+	if !r.answeredAt.Before(failedAt) || time.Since(r.answeredAt) >= isolationLimit {
+		return false
+	}
+	for name, p := range r.hosts {
+		if name != failed && !p.dead {
+			return true
+		}
+	}
+	return false
 }
 
 // isSilentChild reports whether the host belongs to this hub and has not said hello in
@@ -311,16 +363,23 @@
 
 // recordFailure counts a hello that failed and declares the host dead after
 // maxHelloFailures in a row, or at once if it refused the connection. It reports
-// whether the host is dead since this failure.
-func (r *Roster) recordFailure(h Host, err error) bool {
+// whether the host is dead since this failure. The failure says nothing of the host if this
+// node may be cut off itself.
+func (r *Roster) recordFailure(h Host, sentAt, failedAt time.Time, err error) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.hosts[h.Name]
 	if p == nil || p.host.Incarnation != h.Incarnation || p.dead {
 		return false
 	}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	// A hello sent before the last failure was counted may have met the same cut.
+	if !refused && (r.mayBeCutOff(h.Name, failedAt) || sentAt.Before(p.countedAt)) {
+		return false
+	}
 	p.failures++
-	if p.failures < maxHelloFailures && !errors.Is(err, syscall.ECONNREFUSED) {
+	p.countedAt = time.Now()
+	if p.failures < maxHelloFailures && !refused {
 		return false
 	}
 	r.declareDead(h.Name, err)
--- a/roster/reports_test.go
+++ b/roster/reports_test.go
@@ -132,7 +132,7 @@
 	n.mu.Lock()
 	call := &wirepb.Hello{From: toHostInfo(n.self), Digest: n.digest(), Settled: n.settled()}
 	n.mu.Unlock()
-	answered := false
+	answered, sentAt := false, time.Now()
 	out, back := f.delay(), f.delay()
 	f.after(out, func() {
 		callee := f.nodes[to.Name]
@@ -142,6 +142,7 @@
 		reply := callee.Serve(call)
 		apply := func() {
 			if n.up {
+				n.recordAnswer(sentAt)
 				n.applyReply(reply)
 			}
 		}
@@ -160,12 +161,51 @@
 		if answered || !n.up {
 			return
 		}
-		died := n.recordFailure(to, errNoAnswer)
-		switch {
-		case died && announce:
-			f.announce(n, to)
-		case !died && again == 0 && n.isSilentChild(to):
-			f.hello(n, to, announce, again+1)
+		failedAt := time.Now()
+		f.probe(n, n.probeTargets(to), func() {
+			if !n.up {
+				return
+			}
+			died := n.recordFailure(to, sentAt, failedAt, errNoAnswer)
+			switch {
+			case died && announce:
+				f.announce(n, to)
+			case !died && again == 0 && n.isSilentChild(to):
+				f.hello(n, to, announce, again+1)
+			}
+		})
+	})
+}
+
+// probe asks hosts whether the node is cut off, as countFailure does, and goes on once all
+// have answered or the time is up.
+func (f *simulatedFleet) probe(n *simulatedNode, hosts []Host, done func()) {
+	sentAt, pending := time.Now(), len(hosts)
+	if pending == 0 {
+		done()
+		return
+	}
+	for _, h := range hosts {
+		f.after(f.delay(), func() {
+			callee := f.nodes[h.Name]
+			if !callee.up || callee.cut || n.cut {
+				return
+			}
+			f.after(f.delay(), func() {
+				if !n.up || n.cut || callee.cut {
+					return
+				}
+				n.recordAnswer(sentAt)
+				if pending--; pending == 0 {
+					done()
+				}
+			})
+		})
+	}
+	f.after(helloTimeout, func() {
+		if pending > 0 {
+			pending = 0
+			done()
 		}
 	})
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -70,6 +70,9 @@
 	// considered dead. A refused connection suffices alone, since it means that the
 	// process has ended.
 	maxHelloFailures = 2
+	// isolationLimit is how long a node of which no hello is answered takes the fault for its
+	// own and counts no failed hellos. After that the others count as dead.
+	isolationLimit = 8 * time.Second
 	// listInterval is the pause between two lists of the store's entries, which find
 	// hosts that no hello has reported. In a large fleet the pause is longer:
 	// listIntervalPerNode for each known host.
@@ -146,6 +149,8 @@
 		discoveredAt time.Time
 		// caughtUp is true once the node has what a settled hub knows.
 		caughtUp bool
+		// answeredAt is when the last hello was sent that was answered; zero if none was.
+		answeredAt time.Time
 		// hubSince is since when the node is a hub, zero if it is none.
 		hubSince time.Time
 		// statusChangedAt is when a host was last found dead or alive again.
@@ -174,8 +179,9 @@
 		// lastHeard is when the host itself was last heard, or when a dead one was found
 		// dead; of a host that others have reported it is when it started.
 		lastHeard time.Time
-		// deadAt is when the host was found dead.
-		deadAt time.Time
+		// deadAt is when the host was found dead, and countedAt when a failed hello to it was
+		// last counted.
+		deadAt, countedAt time.Time
 	}
 )
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -259,7 +259,7 @@
 	r.recordReported(fromHostInfo(second))
 	wantTarget("old")
 	wantAlive(2, true)
-	r.recordFailure(fromHostInfo(first), syscall.ECONNREFUSED)
+	r.recordFailure(fromHostInfo(first), time.Now(), time.Now(), syscall.ECONNREFUSED)
 	r.recordReported(fromHostInfo(second))
 	wantTarget("new")
 	wantAlive(1, false)
--- a/roster/stops_test.go
+++ b/roster/stops_test.go
@@ -35,7 +35,8 @@
 // TestStoppedOrCutHostIsNamedTooLong stops hosts for good and cuts others off for seconds,
 // several at a time, while their reports arrive late and twice. From maxNamed after its
 // stop nobody that was in touch since names a host, and from returnTime after a cut has
-// healed everybody names the host that was cut off.
+// healed everybody names the host that was cut off. What a host that was cut off says of
+// others never makes a live host count as dead.
 func TestStoppedOrCutHostIsNamedTooLong(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -44,6 +45,19 @@
 	}
 }
 
+// assertLiveHostsCountAsLive fails the test if a host that has been in touch all the time
+// counts another such host as dead, as if told so by a host that was cut off.
+func (f *simulatedFleet) assertLiveHostsCountAsLive(t *testing.T, disturbed map[string]bool) {
+	t.Helper()
+	for name, n := range f.nodes {
+		for other := range f.nodes {
+			if other != name && !disturbed[name] && !disturbed[other] && !n.Alive(other, f.nodes[other].Self().Incarnation) {
+				t.Fatalf("%s counts %s as dead; both have been in touch all the time", name, other)
+			}
+		}
+	}
+}
+
 func checkStopsAndCuts(t *testing.T, seed uint64) {
 	f := &simulatedFleet{
 		random: rand.New(rand.NewPCG(seed, 5)), nodes: make(map[string]*simulatedNode), registered: make(map[string]Host),
@@ -57,7 +71,10 @@
 	// host was last stopped, cut off or back.
 	changedAt, lastChange, stopped := make(map[string]time.Time), time.Now(), 0
 	cuts := 0
+	// disturbed holds the hosts that have been stopped or cut off.
+	disturbed := make(map[string]bool)
 	check := func() {
+		f.assertLiveHostsCountAsLive(t, disturbed)
 		for name, n := range f.nodes {
 			if !n.up || n.cut || n.Self().Leaving || time.Since(changedAt[name]) <= maxNamed {
 				continue
@@ -85,10 +102,12 @@
 		case !n.up || n.cut || n.Self().Leaving:
 		case f.random.IntN(3) == 0 && stopped < 4:
 			stopped++
+			disturbed[h.Name] = true
 			f.stop(n)
 			changedAt[h.Name], lastChange = time.Now(), time.Now()
 		case cuts < maxCuts:
 			cuts++
+			disturbed[h.Name] = true
 			n.cut, lastChange = true, time.Now()
 			f.after(time.Duration(500+f.random.IntN(5000))*time.Millisecond, func() {
 				n.cut = false
