--- a/integ/upgrade_test.go
+++ b/integ/upgrade_test.go
@@ -21,7 +21,7 @@
 const (
 	// earlierRelease is the commit that hosts are upgraded from: the landing before this
 	// tree.
-	earlierRelease = "ba64543"
+	earlierRelease = "8eab7ae"
 	// upgradeEnv is the environment variable for further runs: the commits to upgrade from
 	// and the seeds, as "COMMIT,COMMIT:FIRST-LAST" or "COMMIT,COMMIT:N" for N random ones.
 	upgradeEnv = "CURRANTLOFT_UPGRADE"
--- a/wirepb/compat_test.go
+++ b/wirepb/compat_test.go
@@ -11,9 +11,9 @@
 )
 
 // earlierMessages describes the messages of the landing before this tree, as recorded with
-// `git show ba64543:wirepb/wire.proto >wire.proto && protoc --descriptor_set_out=ba64543.binpb wire.proto`.
+// `git show 8eab7ae:wirepb/wire.proto >wire.proto && protoc --descriptor_set_out=8eab7ae.binpb wire.proto`.
 //
-//go:embed testdata/ba64543.binpb
+//go:embed testdata/8eab7ae.binpb
 var earlierMessages []byte
 
 // TestEarlierReleaseReadsMessages guards against fields that nodes of the earlier release
