--- a/edge/edge.go
+++ b/edge/edge.go
@@ -56,8 +56,8 @@
 	// shutdownReserve is the part of the time for a graceful shutdown that is kept
 	// free at its end.
 	shutdownReserve = 1200 * time.Millisecond
-	// lateAfter is when in a graceful shutdown requests begin to be refused that may not end
-	// in time. A caller that still sends some then uses an old address.
+	// lateAfter is how long after the start of a graceful shutdown requests are still taken
+	// that may not end in time. A caller that comes later uses an old address.
 	lateAfter = 3 * time.Second
 	// settleTimeout limits the list before a stream is resumed whose first attempt is not
 	// named.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -97,9 +97,8 @@
 		// does not show objects that came and went since the one before; a node that
 		// holds such an object sees by the digest that it does.
 		Names uint64
-		// ReadAt is a boot time of this node by which the store had not been read yet, so
-		// that the update holds all changes made before, 0 if unknown. It is set for updates
-		// from lists.
+		// ReadAt is a time on this node's boot clock before the store was read: the update
+		// holds all changes made until then. 0 means unknown, as for updates from watches.
 		ReadAt  time.Duration
 		Changes []object.Change
 	}
@@ -629,7 +628,7 @@
 			event.UpdateOutdated.Log(m.logger, zap.String("kind", update.Kind), zap.Uint64("revision", update.Revision),
 				zap.Uint64("copy_revision", known))
 		}
-		// A time to come is of a clock before this node's system was started again.
+		// A future time was stated before this node's system started again.
 		if !incomplete && c.listed && update.ReadAt <= m.clock() {
 			m.confirm(c, update.ReadAt)
 		}
