feat(cmds): log the signals that change nothing

A host that is stopping ends at once when SIGHUP comes. The logs can't tell why: SIGHUP is logged only if it has changed the settings, so a process that a signal ended, one whose reload failed and one whose stop was cut short look alike.

Event 107, signal_received, is logged for each SIGHUP that the process receives, before it reads the settings. No logic changes.

--- a/cmds/reload.go
+++ b/cmds/reload.go
@@ -31,7 +31,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case received := <-hup:
+			event.SignalReceived.Log(logger, zap.Stringer("signal", received))
 		case <-ticker.C:
 			if modTime(path, logger).Equal(lastModified) {
 				continue
--- a/event/event.go
+++ b/event/event.go
@@ -41,6 +41,7 @@
 	NodeLoopFailed   = define(104, "node_loop_failed", zapcore.ErrorLevel)
 	NodeDrainTimeout = define(105, "node_drain_timeout", zapcore.WarnLevel)
 	NodeWasPaused    = define(106, "node_was_paused", zapcore.WarnLevel)
+	SignalReceived   = define(107, "signal_received", zapcore.InfoLevel)
 
 	MemberJoined          = define(200, "member_joined", zapcore.InfoLevel)
 	MemberDead            = define(201, "member_dead", zapcore.WarnLevel)
