fix(cmds): SIGHUP ends no host that is stopping

Callers of a host that was being stopped lost their answers when its settings changed meanwhile: SIGTERM, then SIGHUP a second later, and the process ended at once, 7 s before the end of its grace.

Cause: watchSettings returned when the context ended, which SIGTERM does, and its signal.Stop gave SIGHUP back its default action. The same at the very end, where the handling of SIGTERM and SIGINT was given back before the exit; and `currantloft node` never handled SIGHUP, so that it ended a running node.

Change: the signals of the process are received in one place, from its start to its exit, and never given back. The settings are watched until the host has stopped. `node` logs SIGHUP, commands without settings end by it as before.

Each test with processes now fails if a signal but SIGKILL ends one.

--- a/cmds/edge.go
+++ b/cmds/edge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"sync"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -12,7 +13,15 @@
 	"github.com/currantloft/currantloft/setup"
 )
 
-func edgeCommand() *cli.Command {
+// hostProcess is the process of a host on the prepared platform.
+type hostProcess interface {
+	// Run runs until the context ends, then stops gracefully.
+	Run(ctx context.Context) error
+	// Reload applies changed settings.
+	Reload(settings *setup.Host)
+}
+
+func edgeCommand(received *signals) *cli.Command {
 	return &cli.Command{
 		Name:  "edge",
 		Usage: "run one node on the prepared platform until SIGTERM, then stop gracefully",
@@ -29,27 +38,23 @@
 			if err != nil {
 				return usageError("policy: %w", err)
 			}
-			return runOnHost(c, platform.RoleEdge, func(settings *setup.Host, logger *zap.Logger) error {
-				e := edge.New(settings, edge.Options{
+			return runOnHost(ctx, c, received, platform.RoleEdge, func(settings *setup.Host, logger *zap.Logger) hostProcess {
+				return edge.New(settings, edge.Options{
 					AdminPort: c.Int("admin-port"), Policy: policy, OrderEndpoints: c.Bool("order-endpoints"),
 				}, logger)
-				go watchSettings(ctx, c.String("settings"), platform.RoleEdge, logger, e.Reload)
-				return e.Run(ctx)
 			})
 		},
 	}
 }
 
-func storeCommand() *cli.Command {
+func storeCommand(received *signals) *cli.Command {
 	return &cli.Command{
 		Name:  "store",
 		Usage: "run the process of a storage host on the prepared platform",
 		Flags: hostFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return runOnHost(c, platform.RoleStorage, func(settings *setup.Host, logger *zap.Logger) error {
-				s := edge.NewStorage(settings, logger)
-				go watchSettings(ctx, c.String("settings"), platform.RoleStorage, logger, s.Reload)
-				return s.Run(ctx)
+			return runOnHost(ctx, c, received, platform.RoleStorage, func(settings *setup.Host, logger *zap.Logger) hostProcess {
+				return edge.NewStorage(settings, logger)
 			})
 		},
 	}
@@ -65,9 +70,13 @@
 	}
 }
 
-// runOnHost loads the platform's settings and runs a host's process with them.
-func runOnHost(c *cli.Command, role platform.Role, run func(*setup.Host, *zap.Logger) error) error {
-	settings, err := platform.LoadSettings(c.String("settings"), role)
+// runOnHost loads the platform's settings and runs a host's process with them. Signals and
+// changes of the settings are handled until the process has stopped.
+func runOnHost(
+	ctx context.Context, c *cli.Command, received *signals, role platform.Role, newProcess func(*setup.Host, *zap.Logger) hostProcess,
+) error {
+	path := c.String("settings")
+	settings, err := platform.LoadSettings(path, role)
 	if err != nil {
 		return &exitError{code: ExitFindings, cause: err}
 	}
@@ -76,5 +85,12 @@
 		return usageError("log-level: %w", err)
 	}
 	defer closer.Close()
-	return run(settings, logger)
+	process := newProcess(settings, logger)
+	logStop(ctx, logger)
+	watchCtx, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
+	var watch sync.WaitGroup
+	watch.Go(func() { watchSettings(watchCtx, path, role, received.hangups, logger, process.Reload) })
+	defer watch.Wait()
+	defer stopWatch()
+	return process.Run(ctx)
 }
--- a/cmds/node.go
+++ b/cmds/node.go
@@ -11,7 +11,7 @@
 	"github.com/currantloft/currantloft/setup"
 )
 
-func nodeCommand() *cli.Command {
+func nodeCommand(received *signals) *cli.Command {
 	return &cli.Command{
 		Name:  "node",
 		Usage: "run one node until SIGTERM, then stop gracefully",
@@ -32,6 +32,8 @@
 			if err != nil {
 				return err
 			}
+			logStop(ctx, logger)
+			go received.logHangups(ctx, logger)
 			return n.Run(ctx)
 		},
 	}
--- a/cmds/reload.go
+++ b/cmds/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,10 +18,9 @@
 
 // watchSettings reloads the settings file on SIGHUP and when it has changed.
 // Settings that cannot be loaded are logged, and the previous ones stay in force.
-func watchSettings(ctx context.Context, path string, role platform.Role, logger *zap.Logger, apply func(*setup.Host)) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchSettings(
+	ctx context.Context, path string, role platform.Role, hangups <-chan os.Signal, logger *zap.Logger, apply func(*setup.Host),
+) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	lastModified := modTime(path, logger)
@@ -31,7 +28,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case received := <-hup:
+		case received := <-hangups:
 			event.SignalReceived.Log(logger, zap.Stringer("signal", received))
 		case <-ticker.C:
 			if modTime(path, logger).Equal(lastModified) {
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(cmds.Execute(ctx, os.Args, os.Stdout, os.Stderr))
+//	os.Exit(cmds.Main())
 package cmds
 
 import (
@@ -10,8 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
+	"os"
 
 	"github.com/urfave/cli/v3"
 )
@@ -38,12 +37,17 @@
 // Unwrap returns the cause.
 func (e *exitError) Unwrap() error { return e.cause }
 
-// Execute runs the program and returns its exit code. The first SIGINT or
-// SIGTERM cancels the context, and long-running commands stop gracefully.
-func Execute(ctx context.Context, args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	err := newRoot(out, errOut).Run(ctx, args)
+// Main runs the program and returns its exit code. The first SIGINT or SIGTERM cancels its
+// context, and long-running commands stop gracefully. SIGHUP makes them reload their settings.
+func Main() int {
+	received := catchSignals()
+	ctx, cancel := received.stopContext(context.Background())
+	defer cancel()
+	return execute(ctx, received, os.Args, os.Stdout, os.Stderr)
+}
+
+func execute(ctx context.Context, received *signals, args []string, out, errOut io.Writer) int {
+	err := newRoot(received, out, errOut).Run(ctx, args)
 	if err == nil {
 		return ExitOK
 	}
@@ -55,7 +59,23 @@
 	return ExitFailed
 }
 
-func newRoot(out, errOut io.Writer) *cli.Command {
+func newRoot(received *signals, out, errOut io.Writer) *cli.Command {
+	others := []*cli.Command{
+		checkCommand(),
+		planCommand(),
+		applyCommand(),
+		statusCommand(),
+		dumpCommand(),
+		whyCommand(),
+		drainCommand(),
+		loadCommand(),
+		demoCommand(),
+		versionCommand(),
+		fakeCommand(),
+	}
+	for _, command := range others {
+		command.Before = received.cancelOnHangup
+	}
 	root := &cli.Command{
 		Name:                  "currantloft",
 		Usage:                 "rollout service for reinforcement learning, configured by declarations in version control",
@@ -64,22 +84,7 @@
 		ErrWriter:             errOut,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		OnUsageError:          onUsageError,
-		Commands: []*cli.Command{
-			nodeCommand(),
-			edgeCommand(),
-			storeCommand(),
-			checkCommand(),
-			planCommand(),
-			applyCommand(),
-			statusCommand(),
-			dumpCommand(),
-			whyCommand(),
-			drainCommand(),
-			loadCommand(),
-			demoCommand(),
-			versionCommand(),
-			fakeCommand(),
-		},
+		Commands:              append([]*cli.Command{nodeCommand(received), edgeCommand(received), storeCommand(received)}, others...),
 	}
 	for _, command := range root.Commands {
 		command.OnUsageError = onUsageError
--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -48,6 +48,9 @@
 		resolverAddress string
 		adminAddress    string
 
+		// arguments are the command and flags of the program, those of an edge host if nil.
+		arguments []string
+
 		mu sync.Mutex
 		// binary runs the host from its next start on.
 		binary string
@@ -217,6 +220,15 @@
 }
 
 func (s *site) addHost(dir string, i int) {
+	s.t.Helper()
+	h := s.newHost(dir, i)
+	s.hosts = append(s.hosts, h)
+	s.start(h)
+	s.t.Cleanup(func() { s.reap(h) })
+}
+
+// newHost returns a host with its settings, without starting it.
+func (s *site) newHost(dir string, i int) *host {
 	s.t.Helper()
 	name := fmt.Sprintf("edge-%d", i)
 	ip := fmt.Sprintf("%s.%d", s.subnet, i+1)
@@ -250,9 +262,7 @@
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	s.hosts = append(s.hosts, h)
-	s.start(h)
-	s.t.Cleanup(func() { s.reap(h) })
+	return h
 }
 
 func (s *site) start(h *host) {
@@ -263,7 +273,9 @@
 	}
 	defer log.Close()
 	arguments := []string{"edge", "--admin-port", strconv.Itoa(adminPort)}
-	if s.settings != "" {
+	if h.arguments != nil {
+		arguments = h.arguments
+	} else if s.settings != "" {
 		// The duty is named by settings. Earlier releases don't know the flag.
 		arguments = append(arguments, "--order-endpoints")
 	}
@@ -282,6 +294,9 @@
 	go func() {
 		// The exit code is in cmd.ProcessState.
 		_ = cmd.Wait()
+		if status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() && status.Signal() != syscall.SIGKILL {
+			s.t.Errorf("%s was ended by a signal: %v", h.name, status.Signal())
+		}
 		close(done)
 	}()
 }
--- a/main.go
+++ b/main.go
@@ -3,12 +3,11 @@
 package main
 
 import (
-	"context"
 	"os"
 
 	"github.com/currantloft/currantloft/cmds"
 )
 
 func main() {
-	os.Exit(cmds.Execute(context.Background(), os.Args, os.Stdout, os.Stderr))
+	os.Exit(cmds.Main())
 }
