fix(early): SIGHUP ends no host in its first milliseconds

A host whose settings change just after its start is ended by SIGHUP and has to be started again.

Cause: signals were received from main on, and SIGHUP only once the settings were loaded. Until then their default action ends the process.

SIGHUP is ignored even earlier, by a constructor that runs before the runtime, which leaves an ignored SIGHUP as it is; nothing is missed, as the settings are read later. Blocking the signals there instead has no effect: the runtime unblocks them. Commands other than edge, store and node still end by SIGHUP, unless they were started with it ignored.

What is left is the time until the process's first instruction, which only the kernel and the loader have.

TestSignalEndsStartingHost failed before ("edge-2 was ended by a signal: hangup") and passes.

--- a/cmds/check_test.go
+++ b/cmds/check_test.go
@@ -18,7 +18,7 @@
 
 func run(args ...string) result {
 	var out, errOut bytes.Buffer
-	code := execute(context.Background(), &signals{}, append([]string{"currantloft"}, args...), &out, &errOut)
+	code := execute(context.Background(), &Signals{}, append([]string{"currantloft"}, args...), &out, &errOut)
 	return result{code: code, out: out.String(), errOut: errOut.String()}
 }
 
--- a/cmds/edge.go
+++ b/cmds/edge.go
@@ -21,7 +21,7 @@
 	Reload(settings *setup.Host)
 }
 
-func edgeCommand(received *signals) *cli.Command {
+func edgeCommand(received *Signals) *cli.Command {
 	return &cli.Command{
 		Name:  "edge",
 		Usage: "run one node on the prepared platform until SIGTERM, then stop gracefully",
@@ -47,7 +47,7 @@
 	}
 }
 
-func storeCommand(received *signals) *cli.Command {
+func storeCommand(received *Signals) *cli.Command {
 	return &cli.Command{
 		Name:  "store",
 		Usage: "run the process of a storage host on the prepared platform",
@@ -73,7 +73,7 @@
 // runOnHost loads the platform's settings and runs a host's process with them. Signals and
 // changes of the settings are handled until the process has stopped.
 func runOnHost(
-	ctx context.Context, c *cli.Command, received *signals, role platform.Role, newProcess func(*setup.Host, *zap.Logger) hostProcess,
+	ctx context.Context, c *cli.Command, received *Signals, role platform.Role, newProcess func(*setup.Host, *zap.Logger) hostProcess,
 ) error {
 	path := c.String("settings")
 	settings, err := platform.LoadSettings(path, role)
--- a/cmds/node.go
+++ b/cmds/node.go
@@ -11,7 +11,7 @@
 	"github.com/currantloft/currantloft/setup"
 )
 
-func nodeCommand(received *signals) *cli.Command {
+func nodeCommand(received *Signals) *cli.Command {
 	return &cli.Command{
 		Name:  "node",
 		Usage: "run one node until SIGTERM, then stop gracefully",
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(cmds.Main())
+//	os.Exit(cmds.Main(cmds.NewSignals(early.Hangups(), early.Stops(), early.HangupIgnored())))
 package cmds
 
 import (
@@ -37,16 +37,15 @@
 // Unwrap returns the cause.
 func (e *exitError) Unwrap() error { return e.cause }
 
-// Main runs the program and returns its exit code. The first SIGINT or SIGTERM cancels its
-// context, and long-running commands stop gracefully. SIGHUP makes them reload their settings.
-func Main() int {
-	received := catchSignals()
+// Main runs the program and returns its exit code. The first stop signal cancels its context,
+// and long-running commands stop gracefully. SIGHUP makes them reload their settings.
+func Main(received *Signals) int {
 	ctx, cancel := received.stopContext(context.Background())
 	defer cancel()
 	return execute(ctx, received, os.Args, os.Stdout, os.Stderr)
 }
 
-func execute(ctx context.Context, received *signals, args []string, out, errOut io.Writer) int {
+func execute(ctx context.Context, received *Signals, args []string, out, errOut io.Writer) int {
 	err := newRoot(received, out, errOut).Run(ctx, args)
 	if err == nil {
 		return ExitOK
@@ -59,7 +58,7 @@
 	return ExitFailed
 }
 
-func newRoot(received *signals, out, errOut io.Writer) *cli.Command {
+func newRoot(received *Signals, out, errOut io.Writer) *cli.Command {
 	others := []*cli.Command{
 		checkCommand(),
 		planCommand(),
--- a/cmds/signals.go
+++ b/cmds/signals.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
@@ -14,34 +12,29 @@
 	"github.com/currantloft/currantloft/event"
 )
 
-// stopSignals are the signals that stop the program gracefully.
-var stopSignals = []os.Signal{syscall.SIGINT, syscall.SIGTERM}
-
 type (
-	// signals receives the signals of the process. It never returns them to their default
-	// action: that would end a process that is stopping.
-	signals struct {
-		hangups, stops chan os.Signal
+	// Signals are the signals that the process receives.
+	Signals struct {
+		hangups, stops <-chan os.Signal
+		hangupIgnored  bool
 	}
 
 	// stopError is the cause of a context that a signal has ended.
 	stopError struct{ signal os.Signal }
 )
 
+// NewSignals returns the signals of the channels that receive SIGHUP and those that stop the
+// process. If SIGHUP is ignored, it ends no command.
+func NewSignals(hangups, stops <-chan os.Signal, hangupIgnored bool) *Signals {
+	return &Signals{hangups: hangups, stops: stops, hangupIgnored: hangupIgnored}
+}
+
 // Error names the signal.
 func (e *stopError) Error() string { return fmt.Sprintf("stopped by signal: %v", e.signal) }
 
-// catchSignals begins to receive signals, for as long as the process runs.
-func catchSignals() *signals {
-	s := &signals{hangups: make(chan os.Signal, 1), stops: make(chan os.Signal, 1)}
-	signal.Notify(s.hangups, syscall.SIGHUP)
-	signal.Notify(s.stops, stopSignals...)
-	return s
-}
-
 // stopContext returns a context that the first stop signal cancels. Later ones change
 // nothing.
-func (s *signals) stopContext(parent context.Context) (context.Context, context.CancelFunc) {
+func (s *Signals) stopContext(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	go func() {
 		select {
@@ -55,7 +48,10 @@
 
 // cancelOnHangup makes SIGHUP, as of a terminal that closes, cancel a command that has no
 // settings to reload.
-func (s *signals) cancelOnHangup(ctx context.Context, _ *cli.Command) (context.Context, error) {
+func (s *Signals) cancelOnHangup(ctx context.Context, _ *cli.Command) (context.Context, error) {
+	if s.hangupIgnored {
+		return ctx, nil
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	go func() {
 		select {
@@ -69,7 +65,7 @@
 
 // logHangups logs SIGHUP until the context ends, for a program that reads its settings only
 // when it starts.
-func (s *signals) logHangups(ctx context.Context, logger *zap.Logger) {
+func (s *Signals) logHangups(ctx context.Context, logger *zap.Logger) {
 	for {
 		select {
 		case received := <-s.hangups:
--- /dev/null
+++ b/early/early.go
@@ -0,0 +1,42 @@
+// Package early receives the signals of the process from its first milliseconds to its exit.
+//
+// By their default action signals would end a process that is starting or stopping. This
+// package depends on little, so that it is initialised before most others. It never gives a
+// signal back. Where cgo is available it ignores SIGHUP even before the Go runtime starts.
+//
+// # Usage
+//
+//	for received := range early.Hangups() { ... }
+package early
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// stopSignals are the signals that stop the process gracefully.
+var stopSignals = []os.Signal{syscall.SIGINT, syscall.SIGTERM}
+
+// The signals are received before the package's functions can be called.
+var (
+	hangupIgnored = ignoredAtStart()
+	hangups       = receive(syscall.SIGHUP)
+	stops         = receive(stopSignals...)
+)
+
+// receive begins to receive signals. Those that nobody has taken count as one.
+func receive(signals ...os.Signal) <-chan os.Signal {
+	channel := make(chan os.Signal, 1)
+	signal.Notify(channel, signals...)
+	return channel
+}
+
+// Hangups returns the channel that receives SIGHUP.
+func Hangups() <-chan os.Signal { return hangups }
+
+// Stops returns the channel that receives the signals that stop the process.
+func Stops() <-chan os.Signal { return stops }
+
+// HangupIgnored reports whether the process was started with SIGHUP ignored, as by nohup.
+func HangupIgnored() bool { return hangupIgnored }
--- a/fakes/gated/main.go
+++ b/fakes/gated/main.go
@@ -8,11 +8,10 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"go.uber.org/zap"
 
+	"github.com/currantloft/currantloft/early"
 	"github.com/currantloft/currantloft/edge"
 	"github.com/currantloft/currantloft/fakes/links"
 	"github.com/currantloft/currantloft/platform"
@@ -32,8 +31,12 @@
 }
 
 func run(logger *zap.Logger) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	go func() {
+		<-early.Stops()
+		stop()
+	}()
 	l, err := links.Watch(context.WithoutCancel(ctx), os.Getenv("CURRANTLOFT_LINKS"))
 	if err != nil {
 		return err
--- a/integ/signal_test.go
+++ b/integ/signal_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -43,20 +45,68 @@
 	checkStopped(t, h)
 }
 
-// blocks reports whether the process blocks a signal or has a handler for it.
-func blocks(pid int, sig syscall.Signal) bool {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return false
-	}
+// signalMask returns a set of signals in the status of a process or thread.
+func signalMask(path, name string) (mask uint64) {
+	// A process that has ended has no status.
+	status, _ := os.ReadFile(path)
 	for line := range strings.Lines(string(status)) {
-		name, value, _ := strings.Cut(line, ":")
-		mask, err := strconv.ParseUint(strings.TrimSpace(value), 16, 64)
-		if (name == "SigBlk" || name == "SigCgt") && err == nil && mask&(1<<(sig-1)) != 0 {
-			return true
+		if field, value, _ := strings.Cut(line, ":"); field == name {
+			mask, _ = strconv.ParseUint(strings.TrimSpace(value), 16, 64)
+		}
+	}
+	return mask
+}
+
+func contains(mask uint64, sig syscall.Signal) bool { return mask&(1<<(sig-1)) != 0 }
+
+// holds reports whether a process ignores a signal or has a handler for it.
+func holds(pid int, sig syscall.Signal) bool {
+	status := fmt.Sprintf("/proc/%d/status", pid)
+	return contains(signalMask(status, "SigIgn")|signalMask(status, "SigCgt"), sig)
+}
+
+// receives reports whether a process ignores a signal or has asked for it: the thread that
+// receives signals for os/signal, the one that blocks SIGALRM, does not block it then.
+func receives(pid int, sig syscall.Signal) bool {
+	if contains(signalMask(fmt.Sprintf("/proc/%d/status", pid), "SigIgn"), sig) {
+		return true
+	}
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", pid))
+	return slices.ContainsFunc(threads, func(status string) bool {
+		blocked := signalMask(status, "SigBlk")
+		return contains(blocked, syscall.SIGALRM) && !contains(blocked, sig)
+	})
+}
+
+// TestSignalEndsStartingHost sends signals to hosts of both kinds in their first
+// milliseconds. They ended it before it received any.
+func TestSignalEndsStartingHost(t *testing.T) {
+	s := newSite(t, 1, siteTimeout)
+	for _, command := range []string{"edge", "store"} {
+		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
+			t.Run(fmt.Sprintf("%s, %v", command, sig), func(t *testing.T) {
+				t.Parallel()
+				h := s.newHost(t.TempDir(), len(s.hosts)+int(sig))
+				if command == "store" {
+					h.arguments = []string{command}
+				}
+				s.start(h)
+				t.Cleanup(func() { s.reap(h) })
+				ready := receives
+				if sig == syscall.SIGHUP {
+					ready = holds
+				}
+				s.eventually("the process is signalled", func() bool { return ready(h.cmd.Process.Pid, sig) })
+				h.signal(sig)
+				if sig == syscall.SIGHUP {
+					// It goes on until it is stopped.
+					time.Sleep(time.Second)
+					h.signal(syscall.SIGTERM)
+				}
+				checkStopped(t, h)
+			})
 		}
 	}
-	return false
 }
 
 // TestSignalEndsStorageHost sends each signal to a storage host that runs.
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -58,6 +58,8 @@
 	linkRandom *rand.Rand
 	// herdRandom draws when all hosts are killed at once, for the same reason.
 	herdRandom *rand.Rand
+	// signalRandom draws the signals that hosts get, for the same reason.
+	signalRandom *rand.Rand
 	// background counts restarts, crashing requests and lost links that are not finished.
 	background sync.WaitGroup
 	// faultsEnded is closed when no more faults are injected.
@@ -135,7 +137,8 @@
 		random: rand.New(rand.NewPCG(seed, 0)), extraRandom: rand.New(rand.NewPCG(seed, 1)),
 		rewardRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)),
 		linkRandom: rand.New(rand.NewPCG(seed, 4)), herdRandom: rand.New(rand.NewPCG(seed, 5)),
-		restarting: make(map[*host]bool), faultsEnded: make(chan struct{}),
+		signalRandom: rand.New(rand.NewPCG(seed, 6)),
+		restarting:   make(map[*host]bool), faultsEnded: make(chan struct{}),
 	}
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
@@ -187,6 +190,7 @@
 		s.disturbRewardCalls(duration)
 		s.nameLimit(duration)
 		s.loseLinks(duration)
+		s.sendSignals()
 		if s.herdRandom.IntN(8) == 0 {
 			for _, h := range s.hosts {
 				s.restart(h, syscall.SIGKILL)
@@ -266,6 +270,35 @@
 	}
 }
 
+// sendSignals sends a series of signals to a host, one in two times: SIGHUP and, if the host
+// is to stop, others that stop it. It may be starting or stopping.
+func (s *soak) sendSignals() {
+	h := s.hosts[s.signalRandom.IntN(len(s.hosts))]
+	if s.signalRandom.IntN(2) == 0 {
+		return
+	}
+	h.mu.Lock()
+	process := h.cmd.Process
+	h.mu.Unlock()
+	series := []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP}
+	if s.signalRandom.IntN(3) == 0 {
+		stops := []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}
+		s.restart(h, syscall.SIGTERM)
+		series = append(series, stops[s.signalRandom.IntN(len(stops))])
+	}
+	gap := time.Duration(s.signalRandom.Int64N(int64(soakMeanPause)))
+	s.background.Go(func() {
+		for _, sig := range series {
+			time.Sleep(gap)
+			// In its first millisecond a process can't hold signals back. One that has exited
+			// gets none.
+			if receives(process.Pid, sig) {
+				_ = process.Signal(sig)
+			}
+		}
+	})
+}
+
 // endpoints returns the engines and the plain endpoints.
 func (s *soak) endpoints() []*fake.Engine {
 	return append(append([]*fake.Engine(nil), s.engines...), s.plains...)
--- a/main.go
+++ b/main.go
@@ -6,8 +6,9 @@
 	"os"
 
 	"github.com/currantloft/currantloft/cmds"
+	"github.com/currantloft/currantloft/early"
 )
 
 func main() {
-	os.Exit(cmds.Main())
+	os.Exit(cmds.Main(cmds.NewSignals(early.Hangups(), early.Stops(), early.HangupIgnored())))
 }
