fix(early): every signal but SIGKILL stops a host gracefully

SIGQUIT, SIGABRT and the signals that report faults ended a host at once with all its requests when another process sent them; a stopping host, too.

Cause: only SIGINT and SIGTERM were asked for. The Go runtime ends the program on the others.

Change: they all begin the graceful stop. A fault of the program itself still ends it: the runtime hands over only signals that another process sends. The others do nothing in a Go program. SIGQUIT no longer prints the stacks of all goroutines.

SIGHUP is asked for last, so that a test can see from outside when all signals are received.

--- a/early/early.go
+++ b/early/early.go
@@ -15,14 +15,20 @@
 	"syscall"
 )
 
-// stopSignals are the signals that stop the process gracefully.
-var stopSignals = []os.Signal{syscall.SIGINT, syscall.SIGTERM}
+// stopSignals are the signals whose default action in a Go program ends it, without SIGHUP.
+// A fault of the program itself still ends it: the runtime hands over only those that
+// another process sends.
+var stopSignals = []os.Signal{
+	syscall.SIGINT, syscall.SIGTERM, syscall.SIGQUIT, syscall.SIGABRT, syscall.SIGILL, syscall.SIGTRAP, syscall.SIGBUS,
+	syscall.SIGFPE, syscall.SIGSEGV, syscall.SIGSTKFLT, syscall.SIGSYS,
+}
 
-// The signals are received before the package's functions can be called.
+// The signals are received before the package's functions can be called. SIGHUP comes last: it
+// is ignored before, so that its handler shows that all are received.
 var (
 	hangupIgnored = ignoredAtStart()
-	hangups       = receive(syscall.SIGHUP)
 	stops         = receive(stopSignals...)
+	hangups       = receive(syscall.SIGHUP)
 )
 
 // receive begins to receive signals. Those that nobody has taken count as one.
@@ -35,7 +41,7 @@
 // Hangups returns the channel that receives SIGHUP.
 func Hangups() <-chan os.Signal { return hangups }
 
-// Stops returns the channel that receives the signals that stop the process.
+// Stops returns the channel that receives all other signals that would end the process.
 func Stops() <-chan os.Signal { return stops }
 
 // HangupIgnored reports whether the process was started with SIGHUP ignored, as by nohup.
--- a/integ/signal_test.go
+++ b/integ/signal_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -15,9 +13,17 @@
 // signalGap is the time between two signals.
 const signalGap = 100 * time.Millisecond
 
-// caughtSignals returns the signals that hosts get from the platform and from operators.
+// caughtSignals returns the signals that a process can catch, without those that suspend it.
 func caughtSignals() []syscall.Signal {
-	return []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}
+	var list []syscall.Signal
+	for sig := syscall.Signal(1); sig < 32; sig++ {
+		switch sig {
+		case syscall.SIGKILL, syscall.SIGSTOP, syscall.SIGTSTP, syscall.SIGTTIN, syscall.SIGTTOU:
+		default:
+			list = append(list, sig)
+		}
+	}
+	return list
 }
 
 // checkStopped waits until a host's process has exited, which must be by a graceful stop.
@@ -45,7 +51,7 @@
 	checkStopped(t, h)
 }
 
-// signalMask returns a set of signals in the status of a process or thread.
+// signalMask returns a set of signals in the status of a process.
 func signalMask(path, name string) (mask uint64) {
 	// A process that has ended has no status.
 	status, _ := os.ReadFile(path)
@@ -59,23 +65,12 @@
 
 func contains(mask uint64, sig syscall.Signal) bool { return mask&(1<<(sig-1)) != 0 }
 
-// holds reports whether a process ignores a signal or has a handler for it.
+// holds reports whether a signal can no longer end a process by its default action: SIGHUP is
+// ignored first, and has a handler once all signals are received.
 func holds(pid int, sig syscall.Signal) bool {
 	status := fmt.Sprintf("/proc/%d/status", pid)
-	return contains(signalMask(status, "SigIgn")|signalMask(status, "SigCgt"), sig)
-}
-
-// receives reports whether a process ignores a signal or has asked for it: the thread that
-// receives signals for os/signal, the one that blocks SIGALRM, does not block it then.
-func receives(pid int, sig syscall.Signal) bool {
-	if contains(signalMask(fmt.Sprintf("/proc/%d/status", pid), "SigIgn"), sig) {
-		return true
-	}
-	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", pid))
-	return slices.ContainsFunc(threads, func(status string) bool {
-		blocked := signalMask(status, "SigBlk")
-		return contains(blocked, syscall.SIGALRM) && !contains(blocked, sig)
-	})
+	received := contains(signalMask(status, "SigCgt"), syscall.SIGHUP)
+	return received || sig == syscall.SIGHUP && contains(signalMask(status, "SigIgn"), sig)
 }
 
 // TestSignalEndsStartingHost sends signals to hosts of both kinds in their first
@@ -83,7 +78,7 @@
 func TestSignalEndsStartingHost(t *testing.T) {
 	s := newSite(t, 1, siteTimeout)
 	for _, command := range []string{"edge", "store"} {
-		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
+		for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGINT, syscall.SIGQUIT, syscall.SIGTERM} {
 			t.Run(fmt.Sprintf("%s, %v", command, sig), func(t *testing.T) {
 				t.Parallel()
 				h := s.newHost(t.TempDir(), len(s.hosts)+int(sig))
@@ -92,11 +87,7 @@
 				}
 				s.start(h)
 				t.Cleanup(func() { s.reap(h) })
-				ready := receives
-				if sig == syscall.SIGHUP {
-					ready = holds
-				}
-				s.eventually("the process is signalled", func() bool { return ready(h.cmd.Process.Pid, sig) })
+				s.eventually("the process can be signalled", func() bool { return holds(h.cmd.Process.Pid, sig) })
 				h.signal(sig)
 				if sig == syscall.SIGHUP {
 					// It goes on until it is stopped.
--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -282,7 +282,7 @@
 	h.mu.Unlock()
 	series := []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGHUP}
 	if s.signalRandom.IntN(3) == 0 {
-		stops := []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}
+		stops := []syscall.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT}
 		s.restart(h, syscall.SIGTERM)
 		series = append(series, stops[s.signalRandom.IntN(len(stops))])
 	}
@@ -292,7 +292,7 @@
 			time.Sleep(gap)
 			// In its first millisecond a process can't hold signals back. One that has exited
 			// gets none.
-			if receives(process.Pid, sig) {
+			if holds(process.Pid, sig) {
 				_ = process.Signal(sig)
 			}
 		}
