fix(early): a log reader that goes away does not end a host

If whatever reads the standard output of a host ends, the host's next log line raises SIGPIPE, which ends the process with all its requests, a stopping host among them.

Cause: the Go runtime ends the program when a write to the standard output meets a closed pipe, unless the signal is ignored.

TestLogReaderThatEndsHost failed before ("signal: broken pipe") and passes.

--- a/early/early.go
+++ b/early/early.go
@@ -31,6 +31,9 @@
 	hangups       = receive(syscall.SIGHUP)
 )
 
+// A write to a closed pipe fails then, also one to the standard output.
+func init() { signal.Ignore(syscall.SIGPIPE) }
+
 // receive begins to receive signals. Those that nobody has taken count as one.
 func receive(signals ...os.Signal) <-chan os.Signal {
 	channel := make(chan os.Signal, 1)
--- a/integ/signal_test.go
+++ b/integ/signal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"syscall"
@@ -121,3 +122,29 @@
 		})
 	}
 }
+
+// TestLogReaderThatEndsHost closes the reader of a host's logs, whose next line raised SIGPIPE.
+func TestLogReaderThatEndsHost(t *testing.T) {
+	s := newSite(t, 1, siteTimeout)
+	h := s.newHost(t.TempDir(), len(s.hosts))
+	cmd := exec.Command(binaryPath, "store", "--settings", h.settings)
+	logs, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := logs.Read(make([]byte, 1)); err != nil {
+		t.Error(err)
+	}
+	_ = logs.Close()
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		// The line about the signal is written before the next one comes.
+		time.Sleep(2 * signalGap)
+		_ = cmd.Process.Signal(sig)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("the storage host ended with %v, want a graceful stop", err)
+	}
+}
