--- a/event/event.go
+++ b/event/event.go
@@ -121,6 +121,7 @@
 	RequestNotAnswered = define(841, "request_not_answered", zapcore.WarnLevel)
 	RequestRejected    = define(842, "request_rejected", zapcore.InfoLevel)
 	KeyRefused         = define(843, "key_refused", zapcore.InfoLevel)
+	AnswerUnproven     = define(844, "answer_unproven", zapcore.InfoLevel)
 
 	BatchAccepted           = define(860, "batch_accepted", zapcore.InfoLevel)
 	BatchAcceptedBefore     = define(861, "batch_accepted_before", zapcore.InfoLevel)
