fix(relay): an endpoint's own refusal is no promise that a request has not run

Callers got 503 for requests that may run once and had run, trusted it and sent them again: the operation ran twice.

Cause: an endpoint that works on a request and then answers 503, 429 or 408 by itself, without Not-Executed, was passed on like any other answer. To its caller the status is our promise that the request has not run.

A request that may be repeated goes to another endpoint; else the caller gets 502, which promises nothing and bears no signature. PROTOCOL.md has the status "returned unchanged", but also says that 429 and 503 "are a promise, and so are 408 and 421: each means that the request has not run and never will run", and that an answer with Not-Executed states this and "no other response" does. Where both can't hold, the promise must be true.

TestServe has three new rows; two failed before ("got relay.Answered, want relay.Failed", "got relay.Refused, want relay.Failed").

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -71,6 +71,9 @@
 		// Unframed reports whether the end of the body is not stated: it ends with the
 		// connection.
 		Unframed bool
+		// Unproven reports whether callers read the status as the promise that the request
+		// has not run, which the endpoint does not state.
+		Unproven bool
 		// Signed reports whether the answer has the endpoint's signature.
 		Signed bool
 		// Signature is that signature, empty for none.
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -110,6 +110,7 @@
 var (
 	errNoEndpoint = errors.New("the service has no endpoint")
 	errUnsigned   = errors.New("the answer bears no signature")
+	errUnproven   = errors.New("the endpoint does not state that the request has not run")
 )
 
 // Close closes the stream and cancels the request's attempts.
@@ -213,6 +214,13 @@
 func (active *activeRequest) applyResult(ctx context.Context, result attemptResult) Outcome {
 	switch reply := result.reply.(type) {
 	case Answer:
+		if reply.Unproven {
+			if reply.Body != nil {
+				_ = reply.Body.Close()
+			}
+			active.attempts.RecordLost(result.target.ID())
+			break
+		}
 		if reply.Status >= 500 && active.attempts.MayRetryAfterError() {
 			active.attempts.Exclude = append(active.attempts.Exclude, result.target.ID())
 			if active.startAttempt(ctx) == nil {
@@ -426,7 +434,10 @@
 		return r.Cause
 	case Lost:
 		return r.Cause
-	default:
-		return nil
+	case Answer:
+		if r.Unproven {
+			return fmt.Errorf("status %d: %w", r.Status, errUnproven)
+		}
 	}
+	return nil
 }
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -53,6 +53,11 @@
 	}
 }
 
+// unproven is an endpoint's own 503 that does not state that the request has not run.
+func unproven(context.Context) Reply {
+	return Answer{Status: http.StatusServiceUnavailable, Signed: true, Unproven: true, Body: io.NopCloser(strings.NewReader("")), Header: make(http.Header)}
+}
+
 func lost(context.Context) Reply { return Lost{Cause: errTest} }
 
 func full(context.Context) Reply { return NotRun{Sent: true, Full: true, Cause: errTest} }
@@ -112,6 +117,9 @@
 		{"lost and not repeatable", routes.NonIdempotent, []func(context.Context) Reply{lost}, "relay.Failed", 1},
 		{"lost twice", routes.Idempotent, []func(context.Context) Reply{lost}, "relay.Failed", 2},
 		{"server error is returned", routes.NonIdempotent, []func(context.Context) Reply{answer(500, "no")}, "relay.Answered", 1},
+		{"an endpoint's own refusal is no promise", routes.NonIdempotent, []func(context.Context) Reply{unproven}, "relay.Failed", 1},
+		{"an endpoint's own refusal is retried", routes.Idempotent, []func(context.Context) Reply{unproven, answer(200, "ok")}, "relay.Answered", 2},
+		{"own refusals and full", routes.Idempotent, []func(context.Context) Reply{unproven, full}, "relay.Failed", 2 + maxRefusals},
 		{"server error is retried", routes.Idempotent, []func(context.Context) Reply{answer(500, "no"), answer(200, "ok")}, "relay.Answered", 2},
 		{"slow and idempotent is hedged", routes.Idempotent, []func(context.Context) Reply{hang, answer(200, "ok")}, "relay.Answered", 2},
 		{"slow and not idempotent is not hedged", routes.NonIdempotent, []func(context.Context) Reply{hang}, "relay.Failed", 1},
