fix(relay): a request that failed at one endpoint is not refused as not run

A request that may be repeated ran at one endpoint, which answered 500; the others were full. Its caller got 503 with a time to come back, the promise that it has not run.

Cause: an attempt that was answered with a server error was left out of the attempts that may have run.

Change: it counts as one. The caller gets 502.

The new row of TestServe failed before ("got relay.Refused, want relay.Failed").

--- a/relay/decide.go
+++ b/relay/decide.go
@@ -51,7 +51,7 @@
 	a.Exclude = append(a.Exclude, endpoint)
 }
 
-// RecordLost records an attempt that may have run.
+// RecordLost records an attempt that may have run, or that has run and failed.
 func (a *Attempts) RecordLost(endpoint string) {
 	a.MayHaveRun = true
 	a.Exclude = append(a.Exclude, endpoint)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -222,7 +222,7 @@
 			break
 		}
 		if reply.Status >= 500 && active.attempts.MayRetryAfterError() {
-			active.attempts.Exclude = append(active.attempts.Exclude, result.target.ID())
+			active.attempts.RecordLost(result.target.ID())
 			if active.startAttempt(ctx) == nil {
 				return nil
 			}
--- a/relay/serve_test.go
+++ b/relay/serve_test.go
@@ -123,6 +123,7 @@
 		{"server error is retried", routes.Idempotent, []func(context.Context) Reply{answer(500, "no"), answer(200, "ok")}, "relay.Answered", 2},
 		{"slow and idempotent is hedged", routes.Idempotent, []func(context.Context) Reply{hang, answer(200, "ok")}, "relay.Answered", 2},
 		{"slow and not idempotent is not hedged", routes.NonIdempotent, []func(context.Context) Reply{hang}, "relay.Failed", 1},
+		{"server error, then all are full", routes.Idempotent, []func(context.Context) Reply{answer(500, "no"), full}, "relay.Failed", 2 + maxRefusals},
 		{"all are full", routes.NonIdempotent, []func(context.Context) Reply{full}, "relay.Refused", 3},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
