fix(orders): an order counts as not accepted only if its endpoint says so

Any status but 200, 202 and 409 counted as "the endpoint does not accept the order", a 500 or a 503 and the answer to another request on the connection among them.

Orders that were not sent have an outcome of their own; all others count for the lease, rejected ones too, since they have reached the endpoint.

--- a/orders/orders.go
+++ b/orders/orders.go
@@ -56,8 +56,8 @@
 		Active   int
 	}
 
-	// Outcome is an endpoint's answer to an order: Begun, Holds, Outdated,
-	// Rejected or Unsure.
+	// Outcome is what became of an order: Begun, Holds, Outdated, Rejected, NotSent or
+	// Unsure.
 	Outcome interface{ outcome() }
 
 	// Begun means that the endpoint is carrying out the order.
@@ -69,6 +69,8 @@
 	Outdated struct{}
 	// Rejected means that the endpoint does not accept the order.
 	Rejected struct{ Cause error }
+	// NotSent means that the endpoint has not got the order.
+	NotSent struct{ Cause error }
 	// Unsure means that the outcome is unknown: the endpoint may carry out the
 	// order, even after a delay.
 	Unsure struct{ Cause error }
@@ -84,4 +86,5 @@
 func (Holds) outcome()    {}
 func (Outdated) outcome() {}
 func (Rejected) outcome() {}
+func (NotSent) outcome() {}
 func (Unsure) outcome()   {}
--- a/orders/sender.go
+++ b/orders/sender.go
@@ -232,6 +232,9 @@
 	case Rejected:
 		event.OrderFailed.Log(s.deps.Logger, append(fields, zap.Error(o.Cause))...)
 		return retryDelay
+	case NotSent:
+		event.OrderFailed.Log(s.deps.Logger, append(fields, zap.Bool("sent", false), zap.Error(o.Cause))...)
+		return retryDelay
 	default:
 		event.OrderFailed.Log(s.deps.Logger, append(fields, zap.String("outcome", "outdated"))...)
 		return retryDelay
@@ -246,8 +249,8 @@
 			Model: load.Desired.Model, Version: load.Desired.Version, Mode: Retain,
 			Holder: permit.Holder(), Epoch: epoch, Accepted: report.Accepted, Permitted: permit.Current,
 		})
-		_, rejected := outcome.(Rejected)
-		return !rejected
+		_, notSent := outcome.(NotSent)
+		return !notSent
 	})
 	return outcome, epoch, held
 }
