test(integ): the soak's endpoints send answers that prove nothing

They now also answer requests that they run with 503, 429 or 408 of their own, and send answers that belong to no request. Each of the four statuses that promise "not run" counts as a refusal in the checks. 421 is left out of the answers: it proves that a request has not run, and an endpoint that lies can't be told from others.

The draws have a source of their own, so seeds draw the same other faults as before.

--- a/integ/soak_test.go
+++ b/integ/soak_test.go
@@ -41,6 +41,10 @@
 	54,
 }
 
+// promises are the statuses that callers read as the promise that a request has not run. The
+// last one is a proof by itself, which an endpoint that has run the request does not give.
+var promises = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
 // soak is the state of one seed's run.
 type soak struct {
 	*site
@@ -60,6 +64,8 @@
 	herdRandom *rand.Rand
 	// signalRandom draws the signals that hosts get, for the same reason.
 	signalRandom *rand.Rand
+	// answerRandom draws the answers that prove nothing, for the same reason.
+	answerRandom *rand.Rand
 	// background counts restarts, crashing requests and lost links that are not finished.
 	background sync.WaitGroup
 	// faultsEnded is closed when no more faults are injected.
@@ -137,8 +143,8 @@
 		random: rand.New(rand.NewPCG(seed, 0)), extraRandom: rand.New(rand.NewPCG(seed, 1)),
 		rewardRandom: rand.New(rand.NewPCG(seed, 2)), limitRandom: rand.New(rand.NewPCG(seed, 3)),
 		linkRandom: rand.New(rand.NewPCG(seed, 4)), herdRandom: rand.New(rand.NewPCG(seed, 5)),
-		signalRandom: rand.New(rand.NewPCG(seed, 6)),
-		restarting:   make(map[*host]bool), faultsEnded: make(chan struct{}),
+		signalRandom: rand.New(rand.NewPCG(seed, 6)), answerRandom: rand.New(rand.NewPCG(seed, 7)),
+		restarting: make(map[*host]bool), faultsEnded: make(chan struct{}),
 	}
 	stop := make(chan struct{})
 	var tasks sync.WaitGroup
@@ -191,6 +197,7 @@
 		s.nameLimit(duration)
 		s.loseLinks(duration)
 		s.sendSignals()
+		s.answerUnproven(duration)
 		if s.herdRandom.IntN(8) == 0 {
 			for _, h := range s.hosts {
 				s.restart(h, syscall.SIGKILL)
@@ -270,6 +277,21 @@
 	}
 }
 
+// answerUnproven makes a plain endpoint answer requests that it runs with a status that
+// promises the contrary for the given time, or send answers that belong to no request, one in
+// two times.
+func (s *soak) answerUnproven(duration time.Duration) {
+	e := s.plains[s.answerRandom.IntN(len(s.plains))]
+	unproven := promises[:len(promises)-1]
+	switch n := s.answerRandom.IntN(2 * (len(unproven) + 1)); {
+	case n < len(unproven):
+		e.FailWith(unproven[n])
+		time.AfterFunc(duration, func() { e.FailWith(0) })
+	case n == len(unproven):
+		e.SendStrayAnswers(1 + s.answerRandom.IntN(8))
+	}
+}
+
 // sendSignals sends a series of signals to a host, one in two times: SIGHUP and, if the host
 // is to stop, others that stop it. It may be starting or stopping.
 func (s *soak) sendSignals() {
@@ -422,7 +444,7 @@
 		if status == http.StatusOK && string(body) != "answer to "+id {
 			s.t.Errorf("request %s got %q", id, body)
 		}
-		if status == http.StatusServiceUnavailable {
+		if slices.Contains(promises, status) {
 			s.mu.Lock()
 			s.rejectedIDs = append(s.rejectedIDs, id)
 			s.mu.Unlock()
