fix(relay): the attempts that lost end once one is the answer

A stream that was slow to begin was sent to a second endpoint as well; whichever answered first brought the stream, and the other endpoint went on generating it to its end, for up to two seconds.

Cause: all attempts of a request shared one context, which ends with the request. A stream is the request until its last byte; nothing owned the attempts that had lost.

Change: each attempt has a context of its own. Once one attempt is the answer all others are cancelled at once, also those that have answered meanwhile and whose answer nobody reads.

TestLosingAttemptGoesOn failed before in both cases ("the losing attempt goes on beside the stream") and passes.

--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -221,6 +221,31 @@
 	}
 }
 
+// TestLosingAttemptGoesOn hedges a stream. Once one attempt brings it, the endpoint of the other
+// one must not go on working on it, whether that one has answered or not.
+func TestLosingAttemptGoesOn(t *testing.T) {
+	for name, late := range map[string]time.Duration{"without an answer": time.Hour, "with a late answer": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			slow := func(ctx context.Context) Reply {
+				context.AfterFunc(ctx, func() { close(ended) })
+				return delayed(100*time.Millisecond+late, streamOf(1, eventsOf(0, 2), false))(ctx)
+			}
+			outcome, _ := serve(t.Context(), routes.Streaming, slow, delayed(10*time.Millisecond, stalledStream(eventOf(0))))
+			answered, ok := outcome.(Answered)
+			if !ok {
+				t.Fatalf("got %#v", outcome)
+			}
+			select {
+			case <-ended:
+			case <-time.After(200 * time.Millisecond):
+				t.Error("the losing attempt goes on beside the stream")
+			}
+			_ = answered.Stream.Close()
+		})
+	}
+}
+
 // TestBrokenStreamLeavesNoTrace checks that the log tells why a stream was not resumed.
 func TestBrokenStreamLeavesNoTrace(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -74,6 +74,8 @@
 		usage    *usageCount
 		results  chan attemptResult
 		inFlight int
+		// cancels ends the attempts, by their position less one.
+		cancels []context.CancelFunc
 		// sentTo lists the IDs of the endpoints that it was sent to, in order.
 		sentTo []string
 		// notified is closed once the peers are notified of the last crash.
@@ -227,6 +229,7 @@
 				return nil
 			}
 		}
+		active.cancelOthers(result.number)
 		if result.body == nil && reply.Body != nil {
 			if active.hasEvents(reply) {
 				reply.Body = newEventStream(ctx, active, reply, result.target)
@@ -268,10 +271,22 @@
 	active.attempts.Sent++
 	active.inFlight++
 	active.sentTo = append(active.sentTo, target.ID())
-	go active.runAttempt(ctx, target, active.request, active.attempts.Sent)
+	attemptCtx, cancel := context.WithCancel(ctx)
+	active.cancels = append(active.cancels, cancel)
+	go active.runAttempt(attemptCtx, target, active.request, active.attempts.Sent)
 	return nil
 }
 
+// cancelOthers ends all attempts but one, whose answer the caller gets. The endpoints would
+// go on working on them.
+func (active *activeRequest) cancelOthers(number int) {
+	for i, cancel := range active.cancels {
+		if i != number-1 {
+			cancel()
+		}
+	}
+}
+
 // runAttempt sends the request, buffers a short answer and delivers the result.
 func (active *activeRequest) runAttempt(ctx context.Context, target fleet.Target, request Request, number int) {
 	crashes := active.suspects.Crashes(request)
