--- a/orders/orders.go
+++ b/orders/orders.go
@@ -86,5 +86,5 @@
 func (Holds) outcome()    {}
 func (Outdated) outcome() {}
 func (Rejected) outcome() {}
-func (NotSent) outcome() {}
+func (NotSent) outcome()  {}
 func (Unsure) outcome()   {}
