fix(mirror): all hosts no longer list once more after their start

Cause: until hosts know of each other each takes itself for the second of two, and waits 2.4 s for an update before it lists. The host that is to list first waited as long, since it noticed its rank only then. Before, the updates of its watches began the wait of the others anew; since only the time of a list counts, so all 76 hosts listed at the same moment, 2.4 s after their start. The first update to a host could not say that time either, since the host's clock was not known yet.

Change: a host that has just started looks at its rank each 250 ms while it waits for the first time. A host whose clock the first answer tells gets the time of the read in a second message, which has no changes.

TestFirstNodeListsLateAfterItsStart failed before ("sent its first list 1.062s after its start, want 974ms at most"), and so did TestFirstUpdateTellsWhenTheStoreWasRead. TestRemovalsDuringOutageAreMarked let the boot clock stand still while the timers advanced; it now advances it, too.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -137,9 +137,32 @@
 func (p *peerClient) sendUpdates(hosts []roster.Host, updates []mirror.Update) {
 	var pending sync.WaitGroup
 	for _, h := range hosts {
+		pending.Go(func() { p.sendUpdatesTo(h, updates) })
+	}
+}
+
+// sendUpdatesTo sends changes to a host. If the host's clock becomes known by the answer only,
+// a second message tells it the time: without that, a host that has just started would list
+// for itself before the next update comes.
+func (p *peerClient) sendUpdatesTo(h roster.Host, updates []mirror.Update) {
+	send := func(updates []mirror.Update) (timed bool) {
 		ahead, known := p.clocks.ahead(h)
 		call := &wirepb.Frame{Body: &wirepb.Frame_StoreNews{StoreNews: encodeUpdates(updates, ahead, known)}}
-		pending.Go(func() { p.clocks.record(h, p.notify(h, call).GetBatchPage().GetClockMs()) })
+		p.clocks.record(h, p.notify(h, call).GetBatchPage().GetClockMs())
+		return known
+	}
+	if send(updates) {
+		return
+	}
+	var times []mirror.Update
+	for _, update := range updates {
+		if update.ReadAt > 0 {
+			update.Changes = nil
+			times = append(times, update)
+		}
+	}
+	if _, known := p.clocks.ahead(h); known && len(times) > 0 {
+		send(times)
 	}
 }
 
--- a/edge/update_test.go
+++ b/edge/update_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -9,7 +11,10 @@
 	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/fakes/memory"
 	"github.com/currantloft/currantloft/mirror"
+	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/roster"
+	"github.com/currantloft/currantloft/waits"
+	"github.com/currantloft/currantloft/wirepb"
 )
 
 // TestChildUpdatesAreJoined checks that changes within an interval are sent together and
@@ -36,3 +41,33 @@
 	check.Equal(t, "kinds that wait after Close", pending(), 2)
 	u.Close()
 }
+
+// TestFirstUpdateTellsWhenTheStoreWasRead guards against a host that has just started and lists
+// for itself, since the first update to it can't say by its clock when the store was read.
+func TestFirstUpdateTellsWhenTheStoreWasRead(t *testing.T) {
+	var mu sync.Mutex
+	var confirmed []string
+	server, err := peers.Listen("127.0.0.1:0", func(_ context.Context, call *wirepb.Frame, stream *peers.Stream) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, update := range decodeUpdates(call.GetStoreNews()) {
+			if update.ReadAt > 0 {
+				confirmed = append(confirmed, update.Kind)
+			}
+		}
+		clock := waits.Boottime().Milliseconds()
+		_ = stream.Send(&wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: &wirepb.BatchPage{ClockMs: clock}}})
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	p := &peerClient{pool: peers.NewPool(), logger: zap.NewNop()}
+	defer p.pool.Close()
+	h := roster.Host{Name: "started", Incarnation: 1, PeerAddress: server.Address()}
+	p.sendUpdatesTo(h, []mirror.Update{{Kind: "listed", ReadAt: time.Second}, {Kind: "watched"}})
+	p.sendUpdatesTo(h, []mirror.Update{{Kind: "again", ReadAt: time.Second}})
+	mu.Lock()
+	defer mu.Unlock()
+	check.Equal(t, "updates with a time", confirmed, []string{"listed", "again"})
+}
--- a/mirror/late_test.go
+++ b/mirror/late_test.go
@@ -88,3 +88,37 @@
 		}
 	})
 }
+
+// startingFleet is a fleet in which a node finds after a while that it comes first.
+type startingFleet struct {
+	capture
+	foundAt time.Time
+}
+
+func (f startingFleet) Rank() (rank, nodes int) {
+	if time.Now().Before(f.foundAt) {
+		return 1, 1
+	}
+	return 0, 3
+}
+
+// TestFirstNodeListsLateAfterItsStart guards against a first node that waits as long as the
+// second one, since it took itself for that when it started: all others list meanwhile.
+func TestFirstNodeListsLateAfterItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sent := memory.New(), make(chan []Update, 100)
+		put(t, store, "main", "1")
+		start := time.Now()
+		m := New(store, startingFleet{capture{sent}, start.Add(500 * time.Millisecond)}, bound, zap.NewNop(), Kind{Name: kind, Apply: newRecorder().apply})
+		m.clock = func() time.Duration { return time.Hour + time.Since(start) }
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		defer running.Wait()
+		defer cancel()
+		running.Go(func() { _ = m.Run(ctx) })
+		<-sent
+		if took, want := time.Since(start), ListPause(bound, 0, 3)+startInterval; took > want {
+			t.Errorf("the first node sent its first list %v after its start, want %v at most", took, want)
+		}
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -54,6 +54,9 @@
 	// maxPauseShare bounds the time that a node waits for updates, as a share of the
 	// bound: a node that its peers can't reach must list by itself within the bound.
 	maxPauseShare = 0.8
+	// startInterval is how often a node that has just started checks its rank while it waits:
+	// it takes itself for the second of two until it knows of others.
+	startInterval = 250 * time.Millisecond
 	// watchWait is how long a watch waits for changes.
 	watchWait = 8 * time.Second
 	// retryPause is the pause after a failed watch. After failed lists it doubles
@@ -255,10 +258,11 @@
 // node of rank 0 lists after each pause or confirmation, and a node without a list of its
 // own does so too.
 func (m *Mirror) listLoop(ctx context.Context) {
-	failures, listed := 0, false
+	failures, lists := 0, 0
 	for ctx.Err() == nil {
 		if m.listKinds(ctx, true) {
-			failures, listed = 0, true
+			failures = 0
+			lists++
 		} else {
 			failures++
 		}
@@ -268,7 +272,11 @@
 			if failures > 0 {
 				pause = min(maxRetryPause, retryPause<<min(failures, 4))
 			}
-			timer := time.NewTimer(pause)
+			step := pause
+			if failures == 0 && lists == 1 {
+				step = min(pause, startInterval)
+			}
+			timer := time.NewTimer(step)
 			gotUpdate := false
 			select {
 			case <-ctx.Done():
@@ -281,11 +289,14 @@
 				gotUpdate = true
 				m.listKinds(ctx, false)
 			case <-timer.C:
+				if step < pause {
+					continue
+				}
 			}
 			timer.Stop()
 			// Updates hold only changes: without a list of its own a node would lack all
 			// objects that don't change after its start.
-			if !gotUpdate || rank == 0 || !listed {
+			if !gotUpdate || rank == 0 || lists == 0 {
 				break
 			}
 		}
--- a/mirror/outage_test.go
+++ b/mirror/outage_test.go
@@ -28,6 +28,9 @@
 				marked.Store(unavailable)
 			}
 		}})
+		// The boot clock advances with the timers.
+		start := time.Now()
+		m.clock = func() time.Duration { return time.Hour + time.Since(start) }
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { _ = m.Run(ctx) })
