--- a/integ/hosts_test.go
+++ b/integ/hosts_test.go
@@ -379,7 +379,7 @@
 }
 
 func (s *site) status(_ *host, address, target string) int {
-	status, _ := s.send(http.MethodGet, address, target, "", nil)
+	status, _ := s.send(http.MethodGet, address, target, "status", nil)
 	return status
 }
 
