--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -13,6 +13,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -33,13 +35,17 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	defer rec.close()
 	temp, err := os.MkdirTemp("", "case")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	defer os.RemoveAll(temp)
-	ctx, cancel := context.WithTimeout(context.Background(), caseLimit)
+	defer func() { _ = os.RemoveAll(temp) }()
+	// A signal ends the case with its processes.
+	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(signals, caseLimit)
 	defer cancel()
 	switch *name {
 	case "bodies":
@@ -53,8 +59,14 @@
 	default:
 		err = fmt.Errorf("unknown case %q", *name)
 	}
+	if err == nil || errors.Is(err, errBroken) {
+		// A case that was cut short shows nothing.
+		err = errors.Join(ctx.Err(), err)
+	}
 	code := 0
 	switch {
+	case ctx.Err() != nil:
+		code = 2
 	case errors.Is(err, errBroken):
 		code = 1
 	case err != nil:
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -67,6 +67,7 @@
 	// site is a small deployment: a store, samplers and edge machines.
 	site struct {
 		ctx      context.Context
+		root     string
 		record   *record
 		store    *fake.Store
 		engines  []*fake.Engine
@@ -84,6 +85,8 @@
 	return &record{file: file, start: time.Now()}, nil
 }
 
+func (r *record) close() { _ = r.file.Close() }
+
 // printf adds a line with the time since the start.
 func (r *record) printf(format string, args ...any) {
 	r.mu.Lock()
@@ -115,7 +118,7 @@
 // newSite starts a store, samplers and edge machines, and waits until all are ready.
 func newSite(ctx context.Context, rec *record, root, dir string, machines int, config map[string]any, engines []fake.EngineOptions) (*site, error) {
 	s := &site{
-		ctx: ctx, record: rec, store: fake.StartStore(),
+		ctx: ctx, root: root, record: rec, store: fake.StartStore(),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for _, options := range engines {
@@ -217,7 +220,9 @@
 		return nil
 	}
 	cmd, done := exec.Command(m.program, m.arguments...), make(chan struct{})
-	cmd.Env = []string{"CURRANTLOFT_SETTINGS=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	cmd.Dir = s.root
+	// The platform's machines report one core.
+	cmd.Env = []string{"GOMAXPROCS=1", "CURRANTLOFT_SETTINGS=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = m.output, m.output
 	if err := cmd.Start(); err != nil {
 		return err
