--- a/review/standin2/poison.go
+++ b/review/standin2/poison.go
@@ -7,13 +7,13 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
 
 const (
-	streamPath = "/talk/"
+	plainPath = "/lookup/"
+	plainPool = "portal"
 	// poisonBody makes each sampler crash that begins to run a request with it.
 	poisonBody = "poison"
 	// contactTime is contact_ms of the sheet, and maxRetries the number of retries that BUDGET
@@ -23,21 +23,25 @@
 	heartbeats  = 3 * 1200 * time.Millisecond
 
 	poisonMachines = 3
-	poisonSamplers = 6
-	poisonTime     = 25 * time.Second
-	poisonInterval = 700 * time.Millisecond
-	streamEvents   = 8
+	poisonSamplers = 8
+	// poisonInterval is the pause before the request comes again.
+	poisonInterval = 4 * time.Second
+	// poisonBefore and poisonAfter are how often it comes before and after all processes are
+	// killed.
+	poisonBefore, poisonAfter = 4, 6
+	// workTime is how long a sampler works on a request, and on one that crashes it until it does.
+	workTime, crashTime = 20 * time.Millisecond, 250 * time.Millisecond
 	// samplerDownTime is how long a crashed sampler stays down: some seconds.
 	samplerDownTime = 2 * time.Second
 )
 
 type (
-	// streamSampler serves streams. Each start of it has an id of its own.
-	streamSampler struct {
+	// plainSampler answers plain requests. Each start of it has an id of its own.
+	plainSampler struct {
 		site    *site
 		name    string
 		address string
-		// crashes makes it crash when it has sent the first event of a request with poisonBody.
+		// crashes makes it crash when it has worked for crashTime on a request with poisonBody.
 		crashes bool
 		log     *poisonLog
 
@@ -49,15 +53,22 @@
 
 	// poisonLog holds when poisoned requests have reached samplers and crashed them.
 	poisonLog struct {
-		mu                sync.Mutex
-		arrivals, crashes []time.Time
+		mu       sync.Mutex
+		arrivals []arrival
+		crashes  []time.Time
+	}
+
+	// arrival is when an attempt of the requester has reached a sampler.
+	arrival struct {
+		attempt string
+		at      time.Time
 	}
 )
 
-func (s *streamSampler) id() string { return fmt.Sprintf("%s-%d", s.name, s.starts) }
+func (s *plainSampler) id() string { return fmt.Sprintf("%s-%d", s.name, s.starts) }
 
 // start listens and registers a new start.
-func (s *streamSampler) start(ctx context.Context) error {
+func (s *plainSampler) start(ctx context.Context) error {
 	address := s.address
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -86,8 +97,8 @@
 	s.server = server
 	go func() { _ = server.Serve(listener) }()
 	spec, err := json.Marshal(map[string]any{
-		"service": enginePool, "address": s.address, "zone": "hall-0", "version": "v1", "slots": 16, "state": "ready",
-		"cold_remaining_ms": 0, "phase": "both", "models": []map[string]any{{"name": "m0", "version": 1}}, "sequence": 1,
+		"service": plainPool, "address": s.address, "zone": "hall-0", "version": "v1", "slots": 6, "state": "ready",
+		"cold_remaining_ms": 0, "sequence": 1,
 	})
 	if err != nil {
 		return err
@@ -98,7 +109,7 @@
 
 // crash ends the sampler as a crash of its process does: the address refuses connections and
 // the open ones are reset. The entry of this start expires after three heartbeats.
-func (s *streamSampler) crash() {
+func (s *plainSampler) crash() {
 	s.mu.Lock()
 	id, server, conns := s.id(), s.server, s.conns
 	s.mu.Unlock()
@@ -122,7 +133,7 @@
 	})
 }
 
-func (s *streamSampler) serve(w http.ResponseWriter, r *http.Request, id string) {
+func (s *plainSampler) serve(w http.ResponseWriter, r *http.Request, id string) {
 	attempt := r.Header.Get("Attempt-Id")
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != id {
 		w.Header().Set("Instance-Id", id)
@@ -130,10 +141,6 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.URL.Path == "/currantloft/report" {
-		_, _ = io.WriteString(w, `{"phase":"both","models":[{"name":"m0","version":1,"adapters":[]}],"busy":false,"sequence":0}`)
-		return
-	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -142,88 +149,114 @@
 	s.site.record.printf("request %s reaches sampler %s", attempt, id)
 	if poisoned {
 		s.log.mu.Lock()
-		s.log.arrivals = append(s.log.arrivals, time.Now())
+		s.log.arrivals = append(s.log.arrivals, arrival{attempt: attempt, at: time.Now()})
+		s.log.mu.Unlock()
+	}
+	if poisoned && s.crashes {
+		time.Sleep(crashTime)
+		s.log.mu.Lock()
+		s.log.crashes = append(s.log.crashes, time.Now())
 		s.log.mu.Unlock()
+		s.crash()
+		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(workTime)
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Response-Signature", "3e1b.07."+attempt)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Weight-Versions", "1")
-	for n := range streamEvents {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", n, n); err != nil || http.NewResponseController(w).Flush() != nil {
-			return
-		}
-		if poisoned && s.crashes && n == 0 {
-			s.log.mu.Lock()
-			s.log.crashes = append(s.log.crashes, time.Now())
-			s.log.mu.Unlock()
-			time.Sleep(pollInterval)
-			s.crash()
-			panic(http.ErrAbortHandler)
-		}
-		time.Sleep(pollInterval)
-	}
+	_, _ = io.WriteString(w, "answer")
 }
 
-func streamConfig() map[string]any {
+func plainConfig() map[string]any {
 	config := poolConfig("m0")
 	config["routes"] = []map[string]any{{
-		"name": "talk", "hostname": hostname, "path_prefix": streamPath, "route_type": "streaming", "timeout_ms": 10000,
-		"target_latency_ms": 400, "priority": 1, "max_attempts": 3, "service": enginePool,
+		"name": "lookup", "hostname": hostname, "path_prefix": plainPath, "route_type": "idempotent", "timeout_ms": 3000,
+		"target_latency_ms": 150, "priority": 2, "max_attempts": 2, "service": plainPool,
 	}}
+	config["services"] = []map[string]any{{"name": plainPool, "health_path": "/healthz", "max_conns": 110}}
 	return config
 }
 
-// runPoison sends a request that crashes each sampler that begins to run it again and again.
+// runPoison sends a request that crashes each sampler that runs it again and again, and kills all
+// processes at the same moment in between.
 func runPoison(ctx context.Context, rec *record, root, dir string, trouble bool) error {
-	s, err := newSite(ctx, rec, root, dir, poisonMachines, streamConfig(), nil)
+	s, err := newSite(ctx, rec, root, dir, poisonMachines, plainConfig(), nil)
 	defer s.close()
 	if err != nil {
 		return err
 	}
 	log := &poisonLog{}
 	for i := range poisonSamplers {
-		sampler := &streamSampler{site: s, name: fmt.Sprintf("i-%d", i), crashes: trouble, log: log}
+		sampler := &plainSampler{site: s, name: fmt.Sprintf("i-%d", i), crashes: true, log: log}
 		if err := sampler.start(ctx); err != nil {
 			return err
 		}
 	}
-	probe := 0
-	if err := s.await("a stream is served", 10*time.Second, func() bool {
-		probe++
-		status, body := s.talk(0, fmt.Sprintf("probe-%d", probe), "hello")
-		return status == http.StatusOK && strings.Count(string(body), "\n\n") == streamEvents
-	}); err != nil {
+	if err := s.awaitServed(); err != nil {
 		return err
 	}
-	n := 0
-	for start := time.Now(); time.Since(start) < poisonTime && ctx.Err() == nil; time.Sleep(poisonInterval) {
-		attempt := fmt.Sprintf("p-%d", n)
-		status, body := s.talk(n%poisonMachines, attempt, poisonBody)
-		rec.printf("request %s to edge-%d: status %d, %d events", attempt, n%poisonMachines, status, strings.Count(string(body), "\n\n"))
-		n++
+	s.sendPoison("a", poisonBefore)
+	killedAt := time.Now()
+	if trouble {
+		var kills sync.WaitGroup
+		for _, m := range s.machines {
+			kills.Go(func() { s.kill(m, false) })
+		}
+		kills.Wait()
 	}
+	time.Sleep(restartDelay)
+	if err := s.awaitServed(); err != nil {
+		return err
+	}
+	// From then on all machines are in touch.
+	time.Sleep(contactTime)
+	rec.printf("all machines are in touch")
+	touchAt := time.Now()
+	s.sendPoison("b", poisonAfter)
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	rec.printf("%d arrivals at samplers, %d crashes", len(log.arrivals), len(log.crashes))
 	if len(log.crashes) < 3 {
-		return nil
+		return fmt.Errorf("only %d samplers crashed", len(log.crashes))
 	}
-	late, from := 0, log.crashes[2].Add(contactTime)
-	for _, at := range log.arrivals {
-		if at.After(from) {
-			late++
+	late, from := make(map[string]int), log.crashes[2].Add(contactTime)
+	for _, a := range log.arrivals {
+		if a.at.After(from) && (a.at.Before(killedAt) || a.at.After(touchAt)) {
+			late[a.attempt]++
 		}
 	}
-	rec.printf("%d arrivals later than contact_ms after the third crash; BUDGET allows %d", late, maxRetries)
-	if late > maxRetries {
+	rec.printf("later than contact_ms after the third crash, from machines in touch, %d attempts of the requester reach samplers, with arrivals %v; BUDGET allows %d",
+		len(late), late, maxRetries)
+	if len(late) > maxRetries {
 		return errBroken
 	}
 	return nil
 }
 
-// talk sends a request for a stream.
-func (s *site) talk(machine int, attempt, body string) (int, []byte) {
-	header := map[string]string{"Attempt-Id": attempt, "Deadline-Ms": "4000", "Model": "m0", "Token-Usage": "16,64"}
-	return s.call(http.MethodPost, s.machines[machine].address(callersPort), streamPath+"a", header, []byte(body))
+// sendPoison sends the request that crashes samplers a number of times, at all machines in turn.
+func (s *site) sendPoison(prefix string, times int) {
+	for n := range times {
+		attempt, m := fmt.Sprintf("%s-%d", prefix, n), s.machines[n%len(s.machines)]
+		status, _ := s.lookup(m, attempt, poisonBody)
+		s.record.printf("request %s to %s: status %d", attempt, m.name, status)
+		time.Sleep(poisonInterval)
+	}
+}
+
+// awaitServed waits until each machine serves a harmless request.
+func (s *site) awaitServed() error {
+	n := 0
+	return s.await("a request is served", 10*time.Second, func() bool {
+		for _, m := range s.machines {
+			n++
+			if status, _ := s.lookup(m, fmt.Sprintf("probe-%d", n), "hello"); status != http.StatusOK || s.known(m) != len(s.machines) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// lookup sends a plain request.
+func (s *site) lookup(m *machine, attempt, body string) (int, []byte) {
+	return s.call(http.MethodPost, m.address(callersPort), plainPath+"a", map[string]string{"Attempt-Id": attempt, "Deadline-Ms": "3000"}, []byte(body))
 }
