--- a/review/standin2/poison.go
+++ b/review/standin2/poison.go
@@ -235,6 +235,9 @@
 // sendPoison sends the request that crashes samplers a number of times, at all machines in turn.
 func (s *site) sendPoison(prefix string, times int) {
 	for n := range times {
+		if s.ctx.Err() != nil {
+			return
+		}
 		attempt, m := fmt.Sprintf("%s-%d", prefix, n), s.machines[n%len(s.machines)]
 		status, _ := s.lookup(m, attempt, poisonBody)
 		s.record.printf("request %s to %s: status %d", attempt, m.name, status)
--- a/review/standin2/takeover.go
+++ b/review/standin2/takeover.go
@@ -53,7 +53,7 @@
 	}
 	accepted := len(open)
 	last := s.machines[takeoverMachines-1]
-	for end := time.Now().Add(takeoverTime); time.Now().Before(end) && len(open) > 0; time.Sleep(time.Second) {
+	for end := time.Now().Add(takeoverTime); time.Now().Before(end) && len(open) > 0 && ctx.Err() == nil; time.Sleep(time.Second) {
 		open = slices.DeleteFunc(open, func(id string) bool { return s.complete(last, id) })
 	}
 	rec.printf("%d of %d accepted batches are complete", accepted-len(open), accepted)
