--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	standin2 -case bodies -dir review/6 -root . [-trouble=false]
+//	standin2 -case bodies -record review/6/record.txt -root . [-trouble=false]
 package main
 
 import (
@@ -27,10 +27,10 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	name, dir := flag.String("case", "", "name of the case"), flag.String("dir", "", "folder of its record")
+	name, path := flag.String("case", "", "name of the case"), flag.String("record", "", "file of its record")
 	root, trouble := flag.String("root", ".", "folder of the repository"), flag.Bool("trouble", true, "with the disruption")
 	flag.Parse()
-	rec, err := newRecord(*dir)
+	rec, err := newRecord(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin2/poison.go
+++ b/review/standin2/poison.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -111,13 +113,13 @@
 // the open ones are reset. The entry of this start expires after three heartbeats.
 func (s *plainSampler) crash() {
 	s.mu.Lock()
-	id, server, conns := s.id(), s.server, s.conns
+	id, server, conns := s.id(), s.server, slices.Collect(maps.Keys(s.conns))
 	s.mu.Unlock()
 	s.site.record.printf("sampler %s has crashed", id)
 	go func() {
 		_ = server.Close()
 	}()
-	for c := range conns {
+	for _, c := range conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -77,8 +77,8 @@
 	}
 )
 
-func newRecord(dir string) (*record, error) {
-	file, err := os.Create(filepath.Join(dir, "record.txt"))
+func newRecord(path string) (*record, error) {
+	file, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
