fix(intact): resets during an upload look like an orderly end

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Cause: Linux reports a reset to one system call. If that is a write, reads return the end of the stream from then on, as after an orderly close, and an answer without a length ends with its connection. The same holds for a host that passes an endpoint's bytes on to another one. Ruled out: the framing in net/http, which passes an error of a read on as one; a connection between hosts that ends, which was told apart from an end of the endpoint before. Change: package intact has a connection that remembers a failed write. At the end of the stream it lets a write in flight return and then reports its error. All clients dial with it: requests, streams, items, reward calls, reports and orders, also for other hosts; the store, duties, and the clients of currantloft node.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -20,11 +20,13 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/currantloft/currantloft/entry"
+	"github.com/currantloft/currantloft/intact"
 )
 
 const (
@@ -60,7 +62,9 @@
 // New returns a client in a failure domain that fetches its first node addresses from
 // the seeds.
 func New(seeds []string, domain string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerNode, DisableCompression: true}
+	transport := &http.Transport{
+		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConnsPerNode, DisableCompression: true,
+	}
 	return &Client{seeds: seeds, domain: domain, http: &http.Client{Transport: transport}}
 }
 
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -31,6 +31,7 @@
 	"syscall"
 	"time"
 
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/reach"
 	"github.com/currantloft/currantloft/wirepb"
@@ -55,9 +56,6 @@
 )
 
 type (
-	// DialFunc opens a connection, like the method of net.Dialer.
-	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 	// Peers gives access to the other hosts.
 	Peers interface {
 		// Detours returns the hosts through which this one may connect.
@@ -75,7 +73,7 @@
 		// Peers connects to endpoints for this host.
 		Peers Peers
 		// Dial opens direct connections.
-		Dial DialFunc
+		Dial intact.DialFunc
 		// Clock is the clock that includes suspension.
 		Clock func() time.Duration
 	}
@@ -130,7 +128,7 @@
 	var conn net.Conn
 	var err error
 	if path.IsDirect() {
-		conn, err = d.deps.Dial(ctx, "tcp", path.Address)
+		conn, err = intact.Dial(d.deps.Dial)(ctx, "tcp", path.Address)
 	} else {
 		conn, err = d.dialThrough(ctx, path, check)
 	}
--- a/detour/tunnel_test.go
+++ b/detour/tunnel_test.go
@@ -224,3 +224,38 @@
 	}
 	check.Equal(t, "opened connections", opened, testMaxOpen)
 }
+
+// TestResetDuringUploadThroughHost resets the connection of an endpoint to another host while that
+// writes to it.
+func TestResetDuringUploadThroughHost(t *testing.T) {
+	const rounds = 200
+	f := newDetourFixture(t)
+	orderly := 0
+	for range rounds {
+		caller, endpoint := f.open(t)
+		mustWrite(t, caller, "question")
+		uploaded := make(chan struct{})
+		go func() {
+			defer close(uploaded)
+			part := make([]byte, 4<<10)
+			for {
+				if _, err := caller.Write(part); err != nil {
+					return
+				}
+			}
+		}()
+		checkReads(t, endpoint, "question")
+		mustWrite(t, endpoint, "answer")
+		checkReads(t, caller, "answer")
+		if tcp, ok := endpoint.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = endpoint.Close()
+		if _, err := caller.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
+			orderly++
+		}
+		_ = caller.Close()
+		<-uploaded
+	}
+	check.Equal(t, "resets that looked like an orderly end", orderly, 0)
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,6 +31,7 @@
 	"github.com/currantloft/currantloft/detour"
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/intake"
 	"github.com/currantloft/currantloft/lease"
 	"github.com/currantloft/currantloft/meter"
@@ -195,7 +196,7 @@
 }
 
 // connect assembles what connects to endpoints, directly and through other hosts.
-func (e *Edge) connect(dial detour.DialFunc) {
+func (e *Edge) connect(dial intact.DialFunc) {
 	e.book = reach.NewBook(time.Now)
 	others := &detourPeers{peerClient: e.peers}
 	dialer := detour.NewDialer(detour.DialerDeps{Book: e.book, Peers: others, Dial: dial, Clock: waits.Boottime})
--- a/edge/policy.go
+++ b/edge/policy.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/currantloft/currantloft/batch"
-	"github.com/currantloft/currantloft/detour"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/orders"
 )
 
@@ -25,7 +25,7 @@
 		// name that duty.
 		OrderEndpoints bool
 		// DialEndpoint opens connections to endpoints, nil for a net.Dialer.
-		DialEndpoint detour.DialFunc
+		DialEndpoint intact.DialFunc
 	}
 
 	// Policy combines a placement of items with a rollout of weight versions. Those
--- a/engine/client.go
+++ b/engine/client.go
@@ -30,6 +30,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/currantloft/currantloft/intact"
 )
 
 const (
@@ -151,14 +153,14 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         intact.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	singleUse := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	singleUse := &http.Transport{DialContext: intact.Dial(dialer.DialContext), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{pooled: &http.Client{Transport: pooled}, singleUse: &http.Client{Transport: singleUse}}
 }
 
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -15,6 +15,7 @@
 
 	"github.com/currantloft/currantloft/chart"
 	"github.com/currantloft/currantloft/claim"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/permit"
 	"github.com/currantloft/currantloft/poison"
 	"github.com/currantloft/currantloft/retry"
@@ -66,7 +67,7 @@
 	dialer := &net.Dialer{Timeout: plainDialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         intact.Dial(dialer.DialContext),
 			MaxIdleConnsPerHost: plainIdleConns,
 			DisableKeepAlives:   !pooled,
 
--- /dev/null
+++ b/intact/intact.go
@@ -0,0 +1,28 @@
+// Package intact makes sure that clients take an HTTP answer for whole only if it is.
+//
+// Clients of servers that may fail dial with Dial. It returns connections that tell an orderly
+// end from a reset, since an answer without a length ends with its connection.
+//
+// # Usage
+//
+//	transport := &http.Transport{DialContext: intact.Dial(dialer.DialContext)}
+package intact
+
+import (
+	"context"
+	"net"
+)
+
+// DialFunc opens a connection, like the method of net.Dialer.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns a function that dials with dial and returns orderly connections.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+}
--- a/object/client.go
+++ b/object/client.go
@@ -25,6 +25,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -33,6 +34,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/wirepb"
 )
 
@@ -108,8 +110,10 @@
 // NewClient returns a client of the platform at the base address.
 func NewClient(base string, options ...Option) *Client {
 	c := &Client{
-		base:    base,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}},
+		base: base,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+		}},
 		limiter: rate.NewLimiter(defaultRate, defaultBurst),
 	}
 	for _, option := range options {
--- a/sample/score.go
+++ b/sample/score.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/currantloft/currantloft/grade"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/specs"
 	"github.com/currantloft/currantloft/waits"
 )
@@ -39,7 +41,9 @@
 )
 
 func newScoreClient() *scoreClient {
-	return &scoreClient{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes}}}
+	return &scoreClient{client: &http.Client{Transport: &http.Transport{
+		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes,
+	}}}
 }
 
 // scoreUntilAnswered repeats a scoring request, which is idempotent, until it is
