fix(intact): answers with an impossible status are taken for answers

What callers saw: an endpoint in trouble answered with status 000. Callers of the platform's hosts got 502 before, too. But a write to the store that was answered 000, 099, 101 or 1xx written with a sign counted as acknowledged, so that a batch could be accepted that nobody keeps; a call that the store rejected counted as carried out. HTTP/2.0 passed as a version everywhere. Cause: net/http accepts any three characters that strconv.Atoi reads as a status that is not negative, and any version; most readers compared with single numbers. Change: intact.NewClient checks the status line on the connection, before net/http reads it: HTTP/1.x and 100 to 599 in digits. 101 fails, since nobody asks for another protocol. Else the read and so the request fails as after a broken connection. All clients use it, which also limits the head of an answer of the store and of a duty to 64 KiB (10 MiB before). Evidence: TestReadersRejectBrokenAnswers sends 12 status lines to 14 readers, 27 cases failed before, none for status 000 on requests, streams and items; TestBrokenAnswersOfEngines and TestBrokenAnswersOfPlainServices failed in 5 of 6 cases. TestReadersAcceptSoundAnswers passed before, too. Result: all pass.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -62,10 +62,10 @@
 // New returns a client in a failure domain that fetches its first node addresses from
 // the seeds.
 func New(seeds []string, domain string) *Client {
-	transport := &http.Transport{
+	client := intact.NewClient(&http.Transport{
 		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConnsPerNode, DisableCompression: true,
-	}
-	return &Client{seeds: seeds, domain: domain, http: &http.Client{Transport: transport}}
+	})
+	return &Client{seeds: seeds, domain: domain, http: client}
 }
 
 // Close closes idle connections.
--- a/engine/client.go
+++ b/engine/client.go
@@ -42,7 +42,6 @@
 	cancelTimeout      = time.Second
 	maxLineBytes       = 1 << 20
 	maxResponseBytes   = 64 << 10
-	maxHeadBytes       = 64 << 10
 )
 
 type (
@@ -157,11 +156,9 @@
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	singleUse := &http.Transport{DialContext: intact.Dial(dialer.DialContext), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
-	return &Client{pooled: &http.Client{Transport: pooled}, singleUse: &http.Client{Transport: singleUse}}
+	singleUse := &http.Transport{DialContext: intact.Dial(dialer.DialContext), DisableKeepAlives: true}
+	return &Client{pooled: intact.NewClient(pooled), singleUse: intact.NewClient(singleUse)}
 }
 
 // Close closes idle connections.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -29,7 +29,6 @@
 	plainIdleConns   = 64
 	plainAttempts    = 3
 	maxResponseBytes = 16 << 20
-	maxHeadBytes     = 64 << 10
 )
 
 type (
@@ -65,18 +64,13 @@
 // never resends a request.
 func newPlainClient(pooled bool) *http.Client {
 	dialer := &net.Dialer{Timeout: plainDialTimeout}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         intact.Dial(dialer.DialContext),
-			MaxIdleConnsPerHost: plainIdleConns,
-			DisableKeepAlives:   !pooled,
-
-			MaxResponseHeaderBytes: maxHeadBytes,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error {
-			return http.ErrUseLastResponse
-		},
-	}
+	client := intact.NewClient(&http.Transport{
+		DialContext:         intact.Dial(dialer.DialContext),
+		MaxIdleConnsPerHost: plainIdleConns,
+		DisableKeepAlives:   !pooled,
+	})
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return client
 }
 
 // call forwards a request to an endpoint of a plain service.
--- a/object/client.go
+++ b/object/client.go
@@ -111,9 +111,9 @@
 func NewClient(base string, options ...Option) *Client {
 	c := &Client{
 		base: base,
-		http: &http.Client{Transport: &http.Transport{
+		http: intact.NewClient(&http.Transport{
 			DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
-		}},
+		}),
 		limiter: rate.NewLimiter(defaultRate, defaultBurst),
 	}
 	for _, option := range options {
--- a/sample/score.go
+++ b/sample/score.go
@@ -18,7 +18,6 @@
 
 const (
 	maxScoreBytes = 64 << 10
-	maxHeadBytes  = 64 << 10
 	maxIdleConns  = 64
 )
 
@@ -41,9 +40,9 @@
 )
 
 func newScoreClient() *scoreClient {
-	return &scoreClient{client: &http.Client{Transport: &http.Transport{
-		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeadBytes,
-	}}}
+	return &scoreClient{client: intact.NewClient(&http.Transport{
+		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConns,
+	})}
 }
 
 // scoreUntilAnswered repeats a scoring request, which is idempotent, until it is
