fix(intact): header names with a blank hide the framing of an answer

What callers saw: an endpoint sent an answer in whose head the name of a field held a blank. Callers got it with that line; with "Transfer-Encoding : chunked" the chunks' sizes came as part of the body, and with "Content-Length : 100" a part of the body that ended with its connection came as the whole. A name that begins with a blank was joined to the value of the line before it, with the same result. Events, items, reports and the store read such answers, too. Cause: net/http keeps a name with a blank as another name and unfolds lines that begin with one; the framing is that of what is left. Folded lines, which HTTP/1.1 lets a client reject, fail as well, since a name after a blank looks the same.

--- a/intact/head.go
+++ b/intact/head.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // minStatus and maxStatus bound the status of an answer. Other numbers have no class.
@@ -16,7 +18,10 @@
 	minFinalStatus = 200
 )
 
-var errStatusLine = errors.New("malformed status line")
+var (
+	errStatusLine = errors.New("malformed status line")
+	errHeaderLine = errors.New("malformed header line")
+)
 
 type (
 	// headConn is a client's connection whose Read fails at the first malformed line in the head
@@ -87,7 +92,7 @@
 	case !h.begun:
 		return h.readStatus(line)
 	case len(line) > 0:
-		return nil
+		return checkField(line)
 	case h.interim:
 		*h = head{expected: true}
 	default:
@@ -111,6 +116,16 @@
 	return nil
 }
 
+// checkField checks a header line. A name with a blank may be meant for another one, and a line
+// that begins with one may be meant to go on with the line before: net/http accepts both.
+func checkField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+		return fmt.Errorf("%w %.40q", errHeaderLine, line)
+	}
+	return nil
+}
+
 // digits decodes an unsigned number. It reports false if there is another character.
 func digits(text []byte, number *int) bool {
 	*number = 0
