fix(intact): heads that state the end of the body in two ways are guessed at

What callers saw: an answer with a length and chunks, or with chunks under HTTP/1.0 or in an answer without content, came with a body that net/http had cut by one of the statements: under HTTP/1.0 the chunks' sizes came as part of the body, and a 204 was whole while its body was left over. Cause: net/http drops the length beside an encoding, the encoding under HTTP/1.0, and both for statuses without a body. HTTP/1.1 says that the first may be an attack and is to be handled as an error, and forbids the others. Change: the check of the head knows the lines that state the framing and fails at its end if they don't agree. The same length twice is no disagreement and passes. Lengths that differ, lists, signs, other encodings: net/http rejects them, the tests stay.

--- a/intact/head.go
+++ b/intact/head.go
@@ -21,6 +21,7 @@
 var (
 	errStatusLine = errors.New("malformed status line")
 	errHeaderLine = errors.New("malformed header line")
+	errFraming    = errors.New("the end of the body is stated in ways that differ")
 )
 
 type (
@@ -44,8 +45,12 @@
 		line []byte
 		// begun is true after the status line.
 		begun bool
-		// interim is true within the head of an interim answer.
-		interim bool
+		// minor is the minor version of HTTP/1.
+		minor, status int
+		// encoded reports whether a line states an encoding of the body.
+		encoded bool
+		// sized reports whether a line states a length, nonempty whether it is above 0.
+		sized, nonempty bool
 	}
 )
 
@@ -92,12 +97,12 @@
 	case !h.begun:
 		return h.readStatus(line)
 	case len(line) > 0:
-		return checkField(line)
-	case h.interim:
-		*h = head{expected: true}
-	default:
-		h.expected = false
+		return h.readField(line)
 	}
+	if err := h.checkFraming(); err != nil {
+		return err
+	}
+	*h = head{expected: h.status < minFinalStatus}
 	return nil
 }
 
@@ -112,17 +117,34 @@
 	if len(code) != len("200") || !digits(code, &status) || status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w %.40q: invalid status", errStatusLine, line)
 	}
-	h.begun, h.interim = true, status < minFinalStatus
+	h.begun, h.minor, h.status = true, minor, status
 	return nil
 }
 
-// checkField checks a header line. A name with a blank may be meant for another one, and a line
+// readField checks a header line. A name with a blank may be meant for another one, and a line
 // that begins with one may be meant to go on with the line before: net/http accepts both.
-func checkField(line []byte) error {
+func (h *head) readField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return fmt.Errorf("%w %.40q", errHeaderLine, line)
 	}
+	switch {
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		h.encoded = true
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		h.sized = true
+		h.nonempty = h.nonempty || !bytes.Equal(bytes.Trim(value, " \t"), []byte("0"))
+	}
+	return nil
+}
+
+// checkFraming checks whether the lines of the head agree on where the body ends. net/http prefers
+// one of them.
+func (h *head) checkFraming() error {
+	noBody := h.status < minFinalStatus || h.status == http.StatusNoContent
+	if h.encoded && (h.sized || h.minor == 0 || noBody) || h.nonempty && noBody {
+		return errFraming
+	}
 	return nil
 }
 
