fix(intact): readers stop before the end of an answer and take it for whole

What callers saw: a duty counted as done whose answer broke off; an order without an end of its answer as begun, a missing object or a rejected write as such; on currantloft node a sample got the score of an answer that was cut after it, and an engine's 503 that was cut counted as the statement that nothing ran. Cause: these readers looked at the status or the first JSON value and ignored the rest of the body, an error in it, or what exceeded their limit. Change: intact.ReadAll reads a body to its end and fails if it breaks off or exceeds its limit; JSON is decoded from the whole body. Duties, orders, reports, the store, engines, scorers, the object client of currantloft node and package caller use it.

--- a/caller/admin.go
+++ b/caller/admin.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -45,7 +44,7 @@
 	var applied entry.Applied
 	if response.StatusCode == http.StatusConflict {
 		conflict := &ConflictError{}
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&conflict.body); err != nil {
+		if err := decodeBody(response, &conflict.body); err != nil {
 			return applied, fmt.Errorf("decoding a conflict answer: %w", err)
 		}
 		return applied, conflict
@@ -53,8 +52,8 @@
 	if response.StatusCode != http.StatusOK {
 		return applied, readError(response)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&applied); err != nil {
-		return applied, &IncompleteError{cause: err}
+	if err := decodeBody(response, &applied); err != nil {
+		return applied, err
 	}
 	return applied, nil
 }
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -18,7 +18,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -176,13 +175,25 @@
 	if response.StatusCode != http.StatusOK {
 		return readError(response)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(value)
+	return decodeBody(response, value)
+}
+
+// decodeBody decodes a body that has to be complete.
+func decodeBody(response *http.Response, value any) error {
+	body, err := intact.ReadAll(response.Body, maxAnswerBytes)
+	if err != nil {
+		return &IncompleteError{cause: err}
+	}
+	if err := json.Unmarshal(body, value); err != nil {
+		return &IncompleteError{cause: err}
+	}
+	return nil
 }
 
 // readError turns an error answer into an *Error.
 func readError(response *http.Response) error {
 	e := &Error{status: response.StatusCode}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&e.body); err != nil {
+	if err := decodeBody(response, &e.body); err != nil {
 		e.body.Error = response.Status
 	}
 	return e
--- a/caller/tokens.go
+++ b/caller/tokens.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/currantloft/currantloft/entry"
+	"github.com/currantloft/currantloft/intact"
 )
 
 const (
@@ -137,7 +138,7 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := intact.ReadAll(response.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, &IncompleteError{cause: err}
 	}
--- a/engine/broken_test.go
+++ b/engine/broken_test.go
@@ -22,6 +22,7 @@
 		"status 000": withLength("000 OK"),
 		"status 099": withLength("099 OK"),
 		"status 600": withLength("600 OK"),
+		"cut error":  "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 100\r\n\r\nbusy",
 		"blank":      withLength("200 OK", "Foo : x"),
 	}
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -22,7 +22,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -254,8 +253,12 @@
 	if response.StatusCode != http.StatusOK {
 		return Status{}, fmt.Errorf("requesting the engine's status: %s", response.Status)
 	}
+	text, err := intact.ReadAll(response.Body, maxResponseBytes)
+	if err != nil {
+		return Status{}, fmt.Errorf("reading the engine's status: %w", err)
+	}
 	var status Status
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&status); err != nil {
+	if err := json.Unmarshal(text, &status); err != nil {
 		return Status{}, fmt.Errorf("reading the engine's status: %w", err)
 	}
 	return status, nil
@@ -263,10 +266,13 @@
 
 func openStream(response *http.Response, cancel context.CancelFunc) (*Stream, error) {
 	if response.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+		text, err := intact.ReadAll(response.Body, maxResponseBytes)
 		_ = response.Body.Close()
 		cancel()
-		err := fmt.Errorf("engine answered %s: %s", response.Status, bytes.TrimSpace(text))
+		if err != nil {
+			return nil, &OutcomeUnknownError{cause: fmt.Errorf("engine answered %s: %w", response.Status, err)}
+		}
+		err = fmt.Errorf("engine answered %s: %s", response.Status, bytes.TrimSpace(text))
 		if response.StatusCode < http.StatusInternalServerError || response.StatusCode == http.StatusServiceUnavailable {
 			return nil, &NotRunError{cause: err, rejected: true}
 		}
--- a/engine/order.go
+++ b/engine/order.go
@@ -5,8 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+
+	"github.com/currantloft/currantloft/intact"
 )
 
 // OrderKind is the action of an order.
@@ -68,7 +69,7 @@
 		return fmt.Errorf("sending an order: %w", err)
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	text, err := intact.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return fmt.Errorf("reading the response to an order: %w", err)
 	}
--- a/entry/broken_test.go
+++ b/entry/broken_test.go
@@ -14,6 +14,7 @@
 		"status 000": "HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole",
 		"status 099": "HTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\nwhole",
 		"status 600": "HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"cut":        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nwhole",
 		"blank":      "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 	}
 }
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -226,10 +225,7 @@
 		return nil, c.classify(connected.Load(), err), err
 	}
 	defer httpResponse.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("the answer is larger than %d bytes", maxResponseBytes)
-	}
+	body, err := intact.ReadAll(httpResponse.Body, maxResponseBytes)
 	if err != nil {
 		return nil, c.classify(true, err), err
 	}
--- a/object/client.go
+++ b/object/client.go
@@ -24,7 +24,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -236,7 +235,7 @@
 }
 
 func (c *Client) readResponse(response *http.Response) (Value, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, MaxValue+1))
+	data, err := intact.ReadAll(response.Body, MaxValue)
 	if err != nil {
 		return Value{}, fmt.Errorf("reading from the platform: %w", errors.Join(ErrUnavailable, err))
 	}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/routes"
 )
 
@@ -370,18 +371,12 @@
 	if answer.Streamed && answer.Status < 300 || answer.Length > maxBufferedBytes {
 		return nil, answer
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBytes+1))
+	body, err := intact.ReadAll(answer.Body, maxBufferedBytes)
 	_ = answer.Body.Close()
 	if err != nil {
 		return nil, Lost{Cause: fmt.Errorf("reading the answer: %w", err)}
 	}
-	if len(body) > maxBufferedBytes {
-		return nil, Lost{Cause: fmt.Errorf("an answer without a length is over %d bytes", maxBufferedBytes)}
-	}
 	answer.Body = nil
-	if body == nil {
-		body = []byte{}
-	}
 	return body, answer
 }
 
--- a/sample/score.go
+++ b/sample/score.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 
@@ -81,8 +80,12 @@
 	if httpResponse.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("scorer %s answered %s", service.Name(), httpResponse.Status)
 	}
+	text, err := intact.ReadAll(httpResponse.Body, maxScoreBytes)
+	if err != nil {
+		return 0, fmt.Errorf("reading from scorer %s: %w", service.Name(), err)
+	}
 	var response scoreResponse
-	if err := json.NewDecoder(io.LimitReader(httpResponse.Body, maxScoreBytes)).Decode(&response); err != nil {
+	if err := json.Unmarshal(text, &response); err != nil {
 		return 0, fmt.Errorf("reading from scorer %s: %w", service.Name(), err)
 	}
 	if response.ID != request.ID {
