fix(intact): redirects are followed and their answers taken for the store's

What callers saw: nothing yet. A store or a duty API that answered a call with a redirect made the client ask another address. Its answer counted: a write as acknowledged that no store got, since the client reads after 301 to 303, a duty as done. Cause: http.Client follows redirects unless it is told not to, which only the client of endpoints was. The store's writes and the engine client took statuses for theirs that they don't know. Change: intact.NewClient follows none.

--- a/engine/broken_test.go
+++ b/engine/broken_test.go
@@ -23,6 +23,8 @@
 		"status 099": withLength("099 OK"),
 		"status 600": withLength("600 OK"),
 		"cut error":  "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 100\r\n\r\nbusy",
+		"no content": "HTTP/1.1 204 No Content\r\n\r\n",
+		"redirect":   withLength("302 Found", "Location: /v1/other"),
 		"blank":      withLength("200 OK", "Foo : x"),
 	}
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -273,7 +273,7 @@
 			return nil, &OutcomeUnknownError{cause: fmt.Errorf("engine answered %s: %w", response.Status, err)}
 		}
 		err = fmt.Errorf("engine answered %s: %s", response.Status, bytes.TrimSpace(text))
-		if response.StatusCode < http.StatusInternalServerError || response.StatusCode == http.StatusServiceUnavailable {
+		if rejects(response.StatusCode) {
 			return nil, &NotRunError{cause: err, rejected: true}
 		}
 		return nil, &OutcomeUnknownError{cause: err}
@@ -281,6 +281,11 @@
 	return &Stream{response: response, reader: bufio.NewReaderSize(response.Body, 4<<10), cancel: cancel}, nil
 }
 
+// rejects reports whether an engine states by a status that it has not run the request.
+func rejects(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+}
+
 // Next returns the next chunk. Only a chunk with Done ends a complete response,
 // io.EOF does not. Lines that are already buffered are joined into one chunk.
 func (s *Stream) Next() (Chunk, error) {
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -63,13 +63,11 @@
 // never resends a request.
 func newPlainClient(pooled bool) *http.Client {
 	dialer := &net.Dialer{Timeout: plainDialTimeout}
-	client := intact.NewClient(&http.Transport{
+	return intact.NewClient(&http.Transport{
 		DialContext:         intact.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost: plainIdleConns,
 		DisableKeepAlives:   !pooled,
 	})
-	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return client
 }
 
 // call forwards a request to an endpoint of a plain service.
--- a/intact/client.go
+++ b/intact/client.go
@@ -16,7 +16,7 @@
 
 // NewClient returns a client over the transport, which it takes over. The transport's DialContext
 // must return connections that tell an orderly end from a reset, like those of Dial. A request
-// fails if the head of its answer is malformed.
+// fails if the head of its answer is malformed. Redirects are not followed.
 func NewClient(base *http.Transport) *http.Client {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -29,7 +29,10 @@
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = maxHeadBytes
 	}
-	return &http.Client{Transport: &transport{base: base}}
+	return &http.Client{
+		Transport:     &transport{base: base},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // RoundTrip sends a request and returns its answer.
