fix(intact): answers without an end exhaust a host's memory

What callers saw: endpoints in trouble sent bytes without an end, in heads, bodies or events. A host with 134 MB limited each answer, but not how many come at once: it took up to 239 MB for the answers to 300 callers, 224 MB for heads of many lines, 197 and 282 MB for items, 106 MB for a few replies of the store. The platform ends such a process, and with it the requests of all others. Cause: 64 KiB of head, which take ten times that if they are short lines, 256 KiB of body, 1 MiB of an event for callers and 256 KiB for items, and 8 MiB of a reply were limits of one answer each. Change: what an answer takes while it is read counts towards a budget, a tenth of the memory for endpoints and the platform's API and a tenth for the store: its head, the buffer for its body, the event that is not complete. A head may have 500 lines. Ruled out: rewards, of which nothing is kept; bodies of large answers, which pass through 4 KiB; connections through other hosts, whose windows are limited (60 to 85 MB). Open: clients of currantloft node have no budget yet; the texts of items, whose events come without an end, are not counted.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -63,7 +63,7 @@
 func New(seeds []string, domain string) *Client {
 	client := intact.NewClient(&http.Transport{
 		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConnsPerNode, DisableCompression: true,
-	})
+	}, nil)
 	return &Client{seeds: seeds, domain: domain, http: client}
 }
 
--- a/detour/body.go
+++ b/detour/body.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/reach"
 )
 
@@ -27,6 +28,9 @@
 	return n, err
 }
 
+// Hold returns what the answer takes of a budget.
+func (b *flightBody) Hold() *intact.Hold { return intact.HoldOf(b.ReadCloser) }
+
 // Close ends the flight.
 func (b *flightBody) Close() error {
 	defer b.flight.end()
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -17,6 +17,10 @@
 	// batchShare that for the batches that the host works on.
 	decodeShare = 0.125
 	batchShare  = 0.16
+	// answerShare is the share of the memory for answers of endpoints and of the platform's API
+	// while they are read, and storeShare that for replies of the store.
+	answerShare = 0.1
+	storeShare  = 0.1
 	// detourShare is the share of the memory for connections that are kept for other hosts,
 	// detourBytes what one takes besides unread data, and detourLimit their largest number.
 	detourShare = 0.2
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,13 +92,15 @@
 
 	// Edge is one node on the prepared platform.
 	Edge struct {
-		settings    atomic.Pointer[setup.Host]
-		logger      *zap.Logger
-		meter       *meter.Meter
-		store       *platform.Store
-		pool        *peers.Pool
-		roster      *roster.Roster
-		fleet       *fleet.Fleet
+		settings atomic.Pointer[setup.Host]
+		logger   *zap.Logger
+		meter    *meter.Meter
+		store    *platform.Store
+		pool     *peers.Pool
+		roster   *roster.Roster
+		fleet    *fleet.Fleet
+		// answers is the memory for answers of endpoints while they are read.
+		answers     *intact.Budget
 		sender      *platform.Sender
 		book        *reach.Book
 		detour      *detour.Sender
@@ -144,7 +146,8 @@
 	e.settings.Store(settings)
 	e.decoder = platform.NewBatchDecoder(share(settings, decodeShare))
 	e.pool.Observe(countCalls(e.meter.Scope()))
-	e.store = platform.NewStore(settings.StoreAddress(), e.meter.Scope(), logger)
+	e.answers = intact.NewBudget(share(settings, answerShare))
+	e.store = platform.NewStore(settings.StoreAddress(), intact.NewBudget(share(settings, storeShare)), e.meter.Scope(), logger)
 	self := roster.Host{
 		Name: settings.Name(), Incarnation: uint64(time.Now().UnixNano()), Domain: settings.Domain(),
 		CallerAddress: settings.CallerAddress(), PeerAddress: settings.PeerAddress(), Power: uint32(settings.CPUQuota() * milliPerCore),
@@ -189,7 +192,7 @@
 			Name: self.Name, Incarnation: self.Incarnation, Peers: e.peers, Fleet: e.fleet, Backlog: e.keeper.Backlog,
 			Lease:  lease.New(e.store, leaseScaling, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
 			Routes: e.table.Load, Listed: func() bool { return e.mirror.Listed(platform.KindEndpoints) },
-			Order: platform.NewDuties(settings.DutyAddress()).OrderEndpoints, Scope: e.meter.Scope(), Logger: logger,
+			Order: platform.NewDuties(settings.DutyAddress(), e.answers).OrderEndpoints, Scope: e.meter.Scope(), Logger: logger,
 		})
 	}
 	return e
@@ -200,7 +203,7 @@
 	e.book = reach.NewBook(time.Now)
 	others := &detourPeers{peerClient: e.peers}
 	dialer := detour.NewDialer(detour.DialerDeps{Book: e.book, Peers: others, Dial: dial, Clock: waits.Boottime})
-	e.sender = platform.NewSender(e.fleet, dialer, e.logger)
+	e.sender = platform.NewSender(e.fleet, dialer, e.answers, e.logger)
 	e.detour = detour.NewSender(detour.SenderDeps{
 		Book: e.book, Dialer: dialer, Transport: e.sender, Hosts: others.Detours, Known: e.fleet.HasAddress,
 		OnUnreached: e.roster.SetUnreached, Scope: e.meter.Scope(), Logger: e.logger,
--- a/edge/scaling_test.go
+++ b/edge/scaling_test.go
@@ -86,7 +86,7 @@
 			Lease:   lease.New(s.store, leaseScaling, name, 1, scalingTestLease, 100*time.Millisecond, waits.Boottime),
 			Backlog: func(string) []batch.Backlog { return s.backlog(rank) },
 			Routes:  func() *routes.Table { return table }, Listed: func() bool { return true },
-			Order: platform.NewDuties(addressOf(rank, s.api.Address())).OrderEndpoints, Scope: tally.NoopScope, Logger: zap.NewNop(),
+			Order: platform.NewDuties(addressOf(rank, s.api.Address()), nil).OrderEndpoints, Scope: tally.NoopScope, Logger: zap.NewNop(),
 		})
 	}
 	return s
--- a/edge/storage.go
+++ b/edge/storage.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/platform"
 	"github.com/currantloft/currantloft/setup"
@@ -34,7 +35,7 @@
 
 // NewStorage returns a storage process.
 func NewStorage(settings *setup.Host, logger *zap.Logger) *Storage {
-	return &Storage{settings: settings, logger: logger, store: platform.NewStore(settings.StoreAddress(), tally.NoopScope, logger)}
+	return &Storage{settings: settings, logger: logger, store: platform.NewStore(settings.StoreAddress(), intact.NewBudget(share(settings, storeShare)), tally.NoopScope, logger)}
 }
 
 // Run answers requests to empty the host until the context ends.
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -39,7 +39,7 @@
 	ledger := usage.NewLedger(clock, settings.UsageWindow())
 	reporter := usage.New(usage.Deps{
 		Host: usage.Host{Name: self.Name, Incarnation: self.Incarnation}, Length: settings.UsageWindow(), Ledger: ledger, Clock: clock,
-		Store: e.store, API: platform.NewDuties(settings.DutyAddress()), Peers: usagePeers{e.peers},
+		Store: e.store, API: platform.NewDuties(settings.DutyAddress(), e.answers), Peers: usagePeers{e.peers},
 		Lease: lease.New(e.store, leaseUsage, self.Name, self.Incarnation, settings.LeaseDuration(), settings.TakeoverDelay(), waits.Boottime),
 		Scope: e.meter.Scope(), Logger: e.logger,
 	})
--- a/engine/client.go
+++ b/engine/client.go
@@ -157,7 +157,7 @@
 		DisableCompression:  true,
 	}
 	singleUse := &http.Transport{DialContext: intact.Dial(dialer.DialContext), DisableKeepAlives: true}
-	return &Client{pooled: intact.NewClient(pooled), singleUse: intact.NewClient(singleUse)}
+	return &Client{pooled: intact.NewClient(pooled, nil), singleUse: intact.NewClient(singleUse, nil)}
 }
 
 // Close closes idle connections.
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -67,7 +67,7 @@
 		DialContext:         intact.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost: plainIdleConns,
 		DisableKeepAlives:   !pooled,
-	})
+	}, nil)
 }
 
 // call forwards a request to an endpoint of a plain service.
--- a/intact/head.go
+++ b/intact/head.go
@@ -11,17 +11,25 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// minStatus and maxStatus bound the status of an answer. Other numbers have no class.
 const (
+	// minStatus and maxStatus bound the status of an answer. Other numbers have no class.
 	minStatus, maxStatus = 100, 599
 	// minFinalStatus is the least status of an answer that is no interim one.
 	minFinalStatus = 200
+	// maxHeadBytes and maxHeadLines limit the head of an answer, interim answers included.
+	maxHeadBytes = 64 << 10
+	maxHeadLines = 500
+	// headWeight is how many bytes of memory a byte of a head takes at most while it is decoded,
+	// lineWeight what a line takes besides.
+	headWeight = 4
+	lineWeight = 200
 )
 
 var (
-	errStatusLine = errors.New("malformed status line")
-	errHeaderLine = errors.New("malformed header line")
-	errFraming    = errors.New("the end of the body is stated in ways that differ")
+	errStatusLine  = errors.New("malformed status line")
+	errHeaderLine  = errors.New("malformed header line")
+	errHeadTooLong = fmt.Errorf("the head has over %d lines", maxHeadLines)
+	errFraming     = errors.New("the end of the body is stated in ways that differ")
 )
 
 type (
@@ -29,20 +37,27 @@
 	// of an answer, so that net/http does not guess what it means.
 	headConn struct {
 		net.Conn
-		// expecting is set when a request is about to be written. The next bytes read are the
-		// head of its answer.
-		expecting atomic.Bool
-		// head is the state of the present answer. Only the goroutine that reads uses it.
+		// expecting is set when a request is about to be written, to what its answer takes. The
+		// next bytes read are the head of that.
+		expecting atomic.Pointer[expectation]
+		// head is the state of the present answer, and hold what it takes. Only the goroutine
+		// that reads uses them.
 		head head
+		hold *Hold
 		err  error
 	}
 
+	// expectation is an answer that is expected.
+	expectation struct{ hold *Hold }
+
 	// head checks the head of an answer, whose bytes may come in pieces.
 	head struct {
 		// expected is true until the head is complete, interim answers before it included.
 		expected bool
 		// line holds the beginning of a line whose end has not come yet.
 		line []byte
+		// lines is the number of lines, those of interim answers included.
+		lines int
 		// begun is true after the status line.
 		begun bool
 		// minor is the minor version of HTTP/1.
@@ -54,8 +69,8 @@
 	}
 )
 
-// expectAnswer prepares for the answer to a request.
-func (c *headConn) expectAnswer() { c.expecting.Store(true) }
+// expectAnswer prepares for the answer to a request, whose head counts for the hold.
+func (c *headConn) expectAnswer(hold *Hold) { c.expecting.Store(&expectation{hold: hold}) }
 
 // Read reads from the server.
 func (c *headConn) Read(p []byte) (int, error) {
@@ -63,18 +78,27 @@
 		return 0, c.err
 	}
 	n, err := c.Conn.Read(p)
-	if c.expecting.CompareAndSwap(true, false) {
-		c.head = head{expected: true}
+	if expected := c.expecting.Swap(nil); expected != nil {
+		c.head, c.hold = head{expected: true}, expected.hold
+	}
+	if !c.head.expected {
+		return n, err
+	}
+	lines := c.head.lines
+	size, headErr := c.head.read(p[:n])
+	if headErr == nil {
+		headErr = c.hold.Grow(int64(headWeight*size + lineWeight*(c.head.lines-lines)))
 	}
-	if headErr := c.head.read(p[:n]); headErr != nil {
+	if headErr != nil {
 		c.err = fmt.Errorf("reading the head of an answer: %w", headErr)
 		return 0, c.err
 	}
 	return n, err
 }
 
-// read checks the next bytes on the connection. What follows the head is not looked at.
-func (h *head) read(text []byte) error {
+// read checks the next bytes on the connection and returns how many of them belong to the head.
+func (h *head) read(text []byte) (int, error) {
+	size := len(text)
 	for h.expected && len(text) > 0 {
 		line, rest, found := bytes.Cut(text, []byte("\n"))
 		if !found || len(h.line) > 0 {
@@ -82,17 +106,20 @@
 			line = h.line
 		}
 		if !found {
-			return nil
+			return size, nil
 		}
 		if err := h.readLine(bytes.TrimSuffix(line, []byte("\r"))); err != nil {
-			return err
+			return 0, err
 		}
 		text, h.line = rest, nil
 	}
-	return nil
+	return size - len(text), nil
 }
 
 func (h *head) readLine(line []byte) error {
+	if h.lines++; h.lines > maxHeadLines {
+		return errHeadTooLong
+	}
 	switch {
 	case !h.begun:
 		return h.readStatus(line)
@@ -102,7 +129,7 @@
 	if err := h.checkFraming(); err != nil {
 		return err
 	}
-	*h = head{expected: h.status < minFinalStatus}
+	*h = head{expected: h.status < minFinalStatus, lines: h.lines}
 	return nil
 }
 
--- a/intact/head_test.go
+++ b/intact/head_test.go
@@ -17,12 +17,12 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte, first, second uint8) {
 		whole := head{expected: true}
-		wholeErr := whole.read(text)
+		_, wholeErr := whole.read(text)
 		pieces := head{expected: true}
 		var err error
 		for rest, size := text, int(first); len(rest) > 0 && err == nil; size = int(second) {
 			n := min(max(1, size), len(rest))
-			err = pieces.read(rest[:n])
+			_, err = pieces.read(rest[:n])
 			rest = rest[n:]
 		}
 		if (err == nil) != (wholeErr == nil) || err == nil && pieces.expected != whole.expected {
@@ -38,7 +38,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		h := head{expected: true}
-		if err := h.read(text); err != nil || h.expected {
+		if _, err := h.read(text); err != nil || h.expected {
 			b.Fatal(err)
 		}
 	}
--- a/integ/crowd_test.go
+++ b/integ/crowd_test.go
@@ -211,8 +211,20 @@
 	})
 }
 
-// checkBounded checks that all hosts live, and what they have taken at their peak.
+// checkBounded checks that all hosts live, what they have taken at their peak, and what they have
+// logged.
 func (s *site) checkBounded(t testing.TB) {
+	t.Helper()
+	s.checkMemory(t)
+	for _, h := range s.hosts {
+		if log, err := os.Stat(h.log); err != nil || log.Size() > maxCrowdLog {
+			t.Errorf("%s logged %d bytes, want at most %d: %v", h.name, log.Size(), maxCrowdLog, err)
+		}
+	}
+}
+
+// checkMemory checks that all hosts live, and what they have taken at their peak.
+func (s *site) checkMemory(t testing.TB) {
 	t.Helper()
 	for _, h := range s.hosts {
 		select {
@@ -229,9 +241,6 @@
 		if open > crowdDescriptors {
 			t.Errorf("%s has %d descriptors open, want at most %d", h.name, open, crowdDescriptors)
 		}
-		if log, err := os.Stat(h.log); err != nil || log.Size() > maxCrowdLog {
-			t.Errorf("%s logged %d bytes, want at most %d: %v", h.name, log.Size(), maxCrowdLog, err)
-		}
 	}
 }
 
--- a/object/client.go
+++ b/object/client.go
@@ -112,7 +112,7 @@
 		base: base,
 		http: intact.NewClient(&http.Transport{
 			DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
-		}),
+		}, nil),
 		limiter: rate.NewLimiter(defaultRate, defaultBurst),
 	}
 	for _, option := range options {
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -13,6 +13,7 @@
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
+	"github.com/currantloft/currantloft/intact"
 )
 
 const (
@@ -63,6 +64,8 @@
 	// is the highest event ID read so far.
 	pending []byte
 	lastID  int
+	// counted is what the event that is read or pending takes of the answer's budget.
+	counted int64
 	// started reports whether the current endpoint has sent an event.
 	started bool
 	// eventAt is when its last event came.
@@ -128,6 +131,9 @@
 // event or sends anything else than events.
 func (r *eventStream) next() ([]byte, error) {
 	var eventBytes []byte
+	hold := intact.HoldOf(r.body)
+	hold.Shrink(r.counted)
+	r.counted = 0
 	id, version, lineStart, inEvent := noEventID, r.version, 0, false
 	if r.started && r.active.route.Resumable {
 		// Closing the body unblocks a waiting read.
@@ -138,6 +144,12 @@
 	for {
 		chunk, err := r.reader.ReadSlice('\n')
 		eventBytes = append(eventBytes, chunk...)
+		if taken := int64(cap(eventBytes)); taken > r.counted {
+			if err := hold.Grow(taken - r.counted); err != nil {
+				return nil, err
+			}
+			r.counted = taken
+		}
 		line := eventBytes[lineStart:]
 		switch {
 		case len(eventBytes) > maxEventBytes:
@@ -227,6 +239,7 @@
 		if ok && answer.Status == 200 && answer.Streamed && answer.Signed && answer.Version == r.version {
 			r.body, r.unframed, r.target, r.started, r.resumed = answer.Body, answer.Unframed, result.target, false, true
 			r.reader.Reset(answer.Body)
+			r.counted = 0
 			event.StreamResumed.Log(active.logger, zap.String("request", active.request.ID), zap.String("from", lostEndpoint),
 				zap.String("endpoint", result.target.ID()), zap.String("software", string(result.target.Software())),
 				zap.Int("after", r.lastID), zap.Error(cause))
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -136,6 +136,9 @@
 	return n, err
 }
 
+// Hold returns what the answer takes of a budget.
+func (o *observedStream) Hold() *intact.Hold { return intact.HoldOf(o.ReadCloser) }
+
 // New returns a Relay with the given dependencies.
 func New(deps Deps) *Relay {
 	return &Relay{
--- a/sample/score.go
+++ b/sample/score.go
@@ -41,7 +41,7 @@
 func newScoreClient() *scoreClient {
 	return &scoreClient{client: intact.NewClient(&http.Transport{
 		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConns,
-	})}
+	}, nil)}
 }
 
 // scoreUntilAnswered repeats a scoring request, which is idempotent, until it is
