fix(batch): texts without an end exhaust a host's memory

What callers saw: engines sent whole events of items without an end. Cause: each text may have as many bytes as an object of the store holds, 630 kB; the texts of all items that are not finished were not counted together. If an event doesn't fit, the longest text is discarded and its run ends, so that the item begins anew, as if its text were too long to be stored. Texts that are complete and wait for their reward are kept. In TestEndlessItemsTogether eight texts take no more than 1 MiB, what is counted is what the texts have, and other items are finished beside them. Open: texts that a host keeps for others, in case it takes over their batches, are not counted.

--- a/batch/endless_test.go
+++ b/batch/endless_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -62,3 +64,74 @@
 		t.Errorf("%d bytes were taken, want at most %d", sent, k.deps.ValueBytes)
 	}
 }
+
+// manyEndlessEngine sends events without end for items whose names begin with endless, and one
+// event for others.
+type manyEndlessEngine struct {
+	instantEngine
+	sent atomic.Int64
+	// observe is called after each event without end.
+	observe func()
+}
+
+func (e *manyEndlessEngine) Send(ctx context.Context, target fleet.Target, request relay.Request) relay.Reply {
+	if !strings.HasPrefix(request.ID, "endless") {
+		return e.instantEngine.Send(ctx, target, request)
+	}
+	return relay.Answer{Status: 200, Signed: true, Streamed: true, Version: 1, Body: io.NopCloser(strings.NewReader(fmt.Sprint("from ", request.LastEventID+1)))}
+}
+
+func (e *manyEndlessEngine) ReadEvents(body io.Reader, emit func(Event) error) error {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	first, endless := strings.CutPrefix(string(text), "from ")
+	if !endless {
+		return emit(Event{ID: 0, Data: string(text)})
+	}
+	id, err := strconv.Atoi(first)
+	for ; err == nil; id++ {
+		err = emit(Event{ID: id, Data: strings.Repeat("a", 4<<10)})
+		e.sent.Add(1)
+		e.observe()
+	}
+	return err
+}
+
+// TestEndlessItemsTogether checks that texts without an end take no more memory together than is
+// set aside, each being shorter than what can be stored, and that other items are finished.
+func TestEndlessItemsTogether(t *testing.T) {
+	const limit, endless, events = 1 << 20, 8, 1500
+	engine := &manyEndlessEngine{}
+	k := newKeeper(t, newCluster(), memory.New(), engine, "a")
+	k.deps.TextBytes = limit
+	var most atomic.Int64
+	engine.observe = func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		sum := int64(0)
+		for _, j := range k.jobs {
+			for i := range j.items {
+				sum += int64(textMemory(j.items[i].texts...))
+			}
+		}
+		if total := k.textBytes(); sum != total {
+			t.Errorf("texts take %d bytes, counted are %d", sum, total)
+		}
+		most.Store(max(most.Load(), sum))
+	}
+	var items []string
+	for i := range endless {
+		items = append(items, fmt.Sprint("endless", i))
+	}
+	acceptAt(t, k, "endless", items...)
+	for n := 0; engine.sent.Load() < events; n++ {
+		id := fmt.Sprint("other", n)
+		acceptAt(t, k, id, id)
+		check.Equal(t, "result", readUntil(t, k, id, 0).Results[0], Result{Item: id, Text: id, Versions: []int{1}})
+	}
+	if most := most.Load(); most > limit || most < limit/2 {
+		t.Errorf("texts took up to %d bytes, want at most %d and at least half of it", most, limit)
+	}
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -47,7 +47,9 @@
 		// backupNode is the node that holds a backup of the partial output; backedUp
 		// counts the events sent to it, by item.
 		backupNode string
-		backedUp   map[string]int
+		// textBytes is about how much memory the texts of all items take.
+		textBytes int64
+		backedUp  map[string]int
 		// checkpointed is the progress that is stored in the checkpoint, by item; nil
 		// if there is no checkpoint.
 		checkpointed map[string]int
@@ -82,11 +84,16 @@
 		// moved reports that the run was stopped to resume the item on another
 		// endpoint.
 		moved bool
+		// discarded reports that the item's output was discarded during the run, which writes
+		// no more of it.
+		discarded bool
 	}
 
 	// itemState is the state of an item without a result.
 	itemState struct {
-		texts        []string
+		texts []string
+		// textBytes is about how much memory the texts take.
+		textBytes    int
 		lastEvent    int
 		versions     []int
 		serverErrors int
@@ -131,7 +138,8 @@
 // holds the lock.
 func (j *job) discardOutput(i int) {
 	s := &j.items[i]
-	s.texts, s.versions, s.lastEvent, s.software, s.stuckSince = nil, nil, -1, "", time.Time{}
+	j.setTexts(i, nil)
+	s.versions, s.lastEvent, s.software, s.stuckSince = nil, -1, "", time.Time{}
 	delete(j.backedUp, j.submission.Items[i].ID)
 }
 
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -139,6 +139,8 @@
 		IsLeader func() bool
 		// MemoryBytes limits the batches that this node takes on together, 0 for no limit.
 		MemoryBytes int64
+		// TextBytes limits the texts of unfinished items, 0 for no limit.
+		TextBytes int64
 		// Retention is how long results can be read.
 		Retention time.Duration
 		// Routes returns the active configuration, nil before the first one.
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -326,7 +326,8 @@
 		case !ok || j.results.HasResult(it.ID):
 		case p.complete:
 			state := &j.items[i]
-			state.texts, state.versions = p.texts, p.versions
+			j.setTexts(i, p.texts)
+			state.versions = p.versions
 			if p.score != "" && p.rewardID == it.Reward.ID {
 				k.recordScored(j, i, p.score)
 			} else {
@@ -335,7 +336,8 @@
 			complete++
 		default:
 			state := &j.items[i]
-			state.texts, state.lastEvent, state.versions, state.software = p.texts, p.lastEvent, p.versions, p.software
+			j.setTexts(i, p.texts)
+			state.lastEvent, state.versions, state.software = p.lastEvent, p.versions, p.software
 			resumed++
 		}
 	}
--- a/batch/reward.go
+++ b/batch/reward.go
@@ -77,7 +77,8 @@
 	state := &j.items[i]
 	k.recordResult(j, Result{Item: j.submission.Items[i].ID, Text: strings.Join(state.texts, "\n"), Versions: state.versions, Score: score})
 	state.reward.cancelAttempts()
-	state.texts, state.reward = nil, nil
+	state.reward = nil
+	j.setTexts(i, nil)
 }
 
 // endRewards ends the reward calls of items that have a durable result, which another
@@ -86,7 +87,8 @@
 	for i := range j.items {
 		if state := &j.items[i]; state.reward != nil && j.results.HasResult(j.submission.Items[i].ID) {
 			state.reward.cancelAttempts()
-			state.texts, state.reward = nil, nil
+			state.reward = nil
+			j.setTexts(i, nil)
 		}
 	}
 }
--- a/batch/run.go
+++ b/batch/run.go
@@ -70,6 +70,7 @@
 	errNoStream       = errors.New("response is no event stream")
 	errNoEvent        = errors.New("response ended without an event")
 	errTextTooLong    = errors.New("text is too long to be stored")
+	errTextDiscarded  = errors.New("the texts of unfinished items take too much memory")
 )
 
 // scheduleLoop schedules items when it is woken, when the fleet changes, and
@@ -444,6 +445,9 @@
 	k, j := r.keeper, r.job
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if r.run.discarded {
+		return errTextDiscarded
+	}
 	state := &j.items[r.item]
 	if state.lastEvent >= 0 && e.ID != state.lastEvent+1 {
 		return fmt.Errorf("%w: event %d after %d", errEventGap, e.ID, state.lastEvent)
@@ -459,6 +463,9 @@
 	if len(state.texts) == 0 {
 		state.software = r.run.target.Software()
 	}
+	if err := k.reserveText(j, r.item, e.Data); err != nil {
+		return err
+	}
 	state.lastEvent = e.ID
 	state.texts = append(state.texts, e.Data)
 	if r.version != 0 && !slices.Contains(state.versions, r.version) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -178,7 +178,7 @@
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
 		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour, Routes: e.table.Load}, Peers: e.peers, IsLeader: e.isLeader,
 		Policy: options.Policy.items, Retention: settings.Retention(), Routes: e.table.Load,
-		MemoryBytes: share(settings, batchShare), Decode: e.decoder.Decode, Scope: e.meter.Scope(), Logger: logger,
+		MemoryBytes: share(settings, batchShare), TextBytes: share(settings, textShare), Decode: e.decoder.Decode, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.orderSender = orders.New(orders.Deps{
 		Name: self.Name, Store: e.store, Fleet: e.fleet, Policy: options.Policy.versions,
--- a/integ/endless_test.go
+++ b/integ/endless_test.go
@@ -310,7 +310,7 @@
 func TestCrowdOfEndlessItems(t *testing.T) {
 	answers := endlessBodies()
 	maps.Copy(answers, endlessHeads())
-	for name, answer := range someOf(answers, "one header often", "line of an event") {
+	for name, answer := range someOf(answers, "one header often", "line of an event", "whole events") {
 		t.Run(name, func(t *testing.T) {
 			s := newCrowdSite(t)
 			s.addFloods(answer)
