fix(node): answers that come at once have no limit on currantloft node

What callers saw: nothing yet. A node limited each answer, 16 MiB of a plain service, 1 MiB of an engine's line, but not how many it reads at once. Change: one budget of 128 MiB for the answers of plain services, engines, scorers and the platform. The largest answers are given up if it is used up. Package caller, which reads the answers of nodes for one caller, has none.

--- a/engine/broken_test.go
+++ b/engine/broken_test.go
@@ -34,7 +34,7 @@
 func TestBrokenAnswersOfEngines(t *testing.T) {
 	for name, text := range brokenAnswers() {
 		t.Run(name, func(t *testing.T) {
-			client, base := NewClient(), script.Start(t, text)
+			client, base := NewClient(nil), script.Start(t, text)
 			defer client.Close()
 			var unknown *OutcomeUnknownError
 			if _, err := client.Start(t.Context(), base, Request{Stream: "s"}); !errors.As(err, &unknown) {
--- a/engine/client.go
+++ b/engine/client.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	client := engine.NewClient()
+//	client := engine.NewClient(intact.NewBudget(64 << 20))
 //	defer client.Close()
 //	stream, err := client.Start(ctx, url, request)
 //	chunk, err := stream.Next()
@@ -40,7 +40,9 @@
 	statusTimeout      = 800 * time.Millisecond
 	cancelTimeout      = time.Second
 	maxLineBytes       = 1 << 20
-	maxResponseBytes   = 64 << 10
+	// lineWeight is how many bytes of memory a byte of a line takes, in its buffer and decoded.
+	lineWeight       = 2
+	maxResponseBytes = 64 << 10
 )
 
 type (
@@ -108,6 +110,8 @@
 		// not be joined with the chunk before it.
 		pending    *Chunk
 		pendingErr error
+		// counted is what the last long line takes of the answer's budget.
+		counted int64
 	}
 
 	// NotRunError reports that the engine did not run the request.
@@ -147,8 +151,9 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.cause }
 
-// NewClient returns a client with its own connection pool.
-func NewClient() *Client {
+// NewClient returns a client with its own connection pool. What engines send counts towards the
+// budget while it is read, nil for no limit.
+func NewClient(answers *intact.Budget) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	pooled := &http.Transport{
 		DialContext:         intact.Dial(dialer.DialContext),
@@ -157,7 +162,7 @@
 		DisableCompression:  true,
 	}
 	singleUse := &http.Transport{DialContext: intact.Dial(dialer.DialContext), DisableKeepAlives: true}
-	return &Client{pooled: intact.NewClient(pooled, nil), singleUse: intact.NewClient(singleUse, nil)}
+	return &Client{pooled: intact.NewClient(pooled, answers), singleUse: intact.NewClient(singleUse, answers)}
 }
 
 // Close closes idle connections.
@@ -319,6 +324,8 @@
 }
 
 func (s *Stream) readLine() (Chunk, error) {
+	intact.HoldOf(s.response.Body).Shrink(s.counted)
+	s.counted = 0
 	line, err := s.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) {
 		line, err = s.readLongLine(line)
@@ -340,6 +347,11 @@
 	line := append([]byte(nil), start...)
 	for len(line) < maxLineBytes {
 		more, err := s.reader.ReadSlice('\n')
+		bytes := int64(lineWeight * len(more))
+		if err := intact.HoldOf(s.response.Body).Grow(bytes); err != nil {
+			return nil, err
+		}
+		s.counted += bytes
 		line = append(line, more...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return line, err
--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -41,7 +41,7 @@
 			}
 			server := newFakeEngine(endless, endless)
 			defer server.Close()
-			client := NewClient()
+			client := NewClient(nil)
 			defer client.Close()
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
@@ -90,7 +90,7 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 	}()
-	client := NewClient()
+	client := NewClient(nil)
 	defer client.Close()
 	if _, err := client.Start(t.Context(), "http://"+l.Addr().String(), Request{Stream: "s"}); err == nil {
 		t.Error("a head without end was read")
--- a/engine/relay_test.go
+++ b/engine/relay_test.go
@@ -106,7 +106,7 @@
 		t.Run(name, func(t *testing.T) {
 			server := newFakeEngine(c.start, c.resume)
 			defer server.Close()
-			client := NewClient()
+			client := NewClient(nil)
 			defer client.Close()
 			var text strings.Builder
 			relay := NewRelay(client, server.URL, Request{Stream: "s"}, 100*time.Millisecond, 1, func(chunk Chunk) error {
@@ -122,7 +122,7 @@
 }
 
 func TestRefusedConnectionIsNotRun(t *testing.T) {
-	client := NewClient()
+	client := NewClient(nil)
 	defer client.Close()
 	relay := NewRelay(client, "http://127.0.0.1:1", Request{Stream: "s"}, time.Second, 0, func(Chunk) error { return nil })
 	if reason, err := relay.Run(context.Background()); reason != EndNotRun {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/currantloft/currantloft/active"
 	"github.com/currantloft/currantloft/claim"
 	"github.com/currantloft/currantloft/flight"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/member"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/permit"
@@ -63,6 +64,9 @@
 		Quarantine *poison.Quarantine
 		// Claims ensures that a non-idempotent request runs at most once.
 		Claims *claim.Claims
+		// Answers is the memory for answers of plain services while they are read, nil for no
+		// limit.
+		Answers *intact.Budget
 		// Steps serves the trainers that this node owns.
 		Steps *steps.Keeper
 		// Scope receives the metrics.
@@ -104,8 +108,8 @@
 		ids:             newIDSource(deps.Members.View().Self()),
 		retryBudget:     retry.NewBudget(),
 		rejecting:       make(chan struct{}),
-		pooledClient:    newPlainClient(true),
-		singleUseClient: newPlainClient(false),
+		pooledClient:    newPlainClient(true, deps.Answers),
+		singleUseClient: newPlainClient(false, deps.Answers),
 	}
 	s.server = &http.Server{
 		Handler:           s.routes(),
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -60,14 +60,14 @@
 
 // newPlainClient returns a client that reuses connections if pooled is true.
 // Otherwise it opens a new connection for each request, on which the transport
-// never resends a request.
-func newPlainClient(pooled bool) *http.Client {
+// never resends a request. What endpoints answer counts towards the budget while it is read.
+func newPlainClient(pooled bool, answers *intact.Budget) *http.Client {
 	dialer := &net.Dialer{Timeout: plainDialTimeout}
 	return intact.NewClient(&http.Transport{
 		DialContext:         intact.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost: plainIdleConns,
 		DisableKeepAlives:   !pooled,
-	}, nil)
+	}, answers)
 }
 
 // call forwards a request to an endpoint of a plain service.
--- a/integ/stale_test.go
+++ b/integ/stale_test.go
@@ -134,7 +134,7 @@
 			d.Fencing, d.Serve, d.Stage = fencing, 2, 2
 			f.apply(d)
 			f.eventually("every sampler serves version 2", func() bool { return f.samplersServing(2) == len(f.Samplers()) })
-			client := engine.NewClient()
+			client := engine.NewClient(nil)
 			defer client.Close()
 			for _, e := range f.Samplers() {
 				order := engine.Order{Operation: "old", Fence: 0, Kind: engine.OrderSwitch, Version: 1}
--- a/loads/trainer.go
+++ b/loads/trainer.go
@@ -138,7 +138,7 @@
 	return complete
 }
 
-var directClient = engine.NewClient()
+var directClient = engine.NewClient(nil)
 
 // sendDirect sends a request to a random engine.
 func sendDirect(ctx context.Context, engines []string, request caller.Request) requestResult {
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/facts"
 	"github.com/currantloft/currantloft/flight"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/member"
 	"github.com/currantloft/currantloft/meter"
 	"github.com/currantloft/currantloft/object"
@@ -37,9 +38,14 @@
 	"github.com/currantloft/currantloft/wirepb"
 )
 
-// leaveSpreadTime is how long it takes until a node's peers have learned that it leaves.
-// Until then they give its address to callers.
-const leaveSpreadTime = 100 * time.Millisecond
+const (
+	// leaveSpreadTime is how long it takes until a node's peers have learned that it leaves.
+	// Until then they give its address to callers.
+	leaveSpreadTime = 100 * time.Millisecond
+	// answerBytes is the memory for answers while they are read. The largest answer of a plain
+	// service takes a quarter of it.
+	answerBytes = 128 << 20
+)
 
 type (
 	// Node is one running node.
@@ -80,6 +86,7 @@
 		return nil, err
 	}
 	perSecond, burst := settings.PlatformRateLimit()
+	answers := intact.NewBudget(answerBytes)
 	n := &Node{
 		settings:       settings,
 		logger:         logger,
@@ -87,10 +94,10 @@
 		meter:          meter.New(),
 		facts:          facts.NewStore(),
 		pool:           peers.NewPool(),
-		client:         engine.NewClient(),
+		client:         engine.NewClient(answers),
 		drainRequested: make(chan struct{}, 1),
 	}
-	n.platform = object.NewClient(settings.PlatformURL(), object.WithBudget(perSecond, burst), object.WithPeerFallback(n.peerFallback))
+	n.platform = object.NewClient(settings.PlatformURL(), object.WithBudget(perSecond, burst), object.WithPeerFallback(n.peerFallback), object.WithMemory(answers))
 	n.members = member.New(member.Config{
 		Self: &wirepb.Member{
 			Name:        settings.Name(),
@@ -106,7 +113,7 @@
 	n.dispatcher = permit.NewDispatcher(n.config, n.members, n.pool, logger)
 	n.quarantine = poison.New(n.members, n.facts, logger)
 	n.runner = route.New(n.dispatcher, n.client, n.quarantine, logger)
-	n.worker = sample.New(n.config, n.runner, logger)
+	n.worker = sample.New(n.config, n.runner, answers, logger)
 	n.steps = steps.New(steps.Deps{
 		Config: n.config, Members: n.members, Platform: n.platform, Pool: n.pool, Worker: n.worker, Logger: logger,
 	})
@@ -116,7 +123,7 @@
 	})
 	n.entry = entry.New(entry.Deps{
 		Config: n.config, Members: n.members, Pool: n.pool, Dispatcher: n.dispatcher, Runner: n.runner,
-		Quarantine: n.quarantine, Claims: claim.New(n.platform, settings.Name(), logger), Steps: n.steps,
+		Quarantine: n.quarantine, Claims: claim.New(n.platform, settings.Name(), logger), Answers: answers, Steps: n.steps,
 		Scope: n.meter.Scope(), Metrics: n.meter.Handler(), Dump: n.Dump, Drain: n.Drain,
 		Profile: settings.Profile(), AddressLifetime: settings.AddressLifetime(), Logger: logger,
 	})
--- a/object/client.go
+++ b/object/client.go
@@ -77,6 +77,7 @@
 		base     string
 		http     *http.Client
 		limiter  *rate.Limiter
+		answers  *intact.Budget
 		fallback PeerFallback
 		// fallbackUntil is the Unix time in nanoseconds until which calls go through a
 		// peer first.
@@ -106,18 +107,20 @@
 	return func(c *Client) { c.fallback = fallback }
 }
 
+// WithMemory lets the platform's answers count towards a budget while they are read.
+func WithMemory(answers *intact.Budget) Option {
+	return func(c *Client) { c.answers = answers }
+}
+
 // NewClient returns a client of the platform at the base address.
 func NewClient(base string, options ...Option) *Client {
-	c := &Client{
-		base: base,
-		http: intact.NewClient(&http.Transport{
-			DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
-		}, nil),
-		limiter: rate.NewLimiter(defaultRate, defaultBurst),
-	}
+	c := &Client{base: base, limiter: rate.NewLimiter(defaultRate, defaultBurst)}
 	for _, option := range options {
 		option(c)
 	}
+	c.http = intact.NewClient(&http.Transport{
+		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute,
+	}, c.answers)
 	return c
 }
 
--- a/permit/policy_test.go
+++ b/permit/policy_test.go
@@ -271,7 +271,7 @@
 
 func runPolicy(b *testing.B, p policy, perSecond float64, trainers int, slow bool) string {
 	b.Helper()
-	t := &trial{policy: p, client: engine.NewClient(), latency: hdrhistogram.New(1, 60_000_000, 3)}
+	t := &trial{policy: p, client: engine.NewClient(nil), latency: hdrhistogram.New(1, 60_000_000, 3)}
 	defer t.client.Close()
 	for i := range endpointCount {
 		e, err := model.Start("127.0.0.1:0", model.Options{
--- a/sample/broken_test.go
+++ b/sample/broken_test.go
@@ -44,7 +44,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := script.Start(t, "HTTP/1.1 200 OK\r\n"+tc.head+"\r\n\r\n"+body+tc.end)
-			score, err := newScoreClient().score(t.Context(), scorerAt(t, url), scoreRequest{ID: "i"})
+			score, err := newScoreClient(nil).score(t.Context(), scorerAt(t, url), scoreRequest{ID: "i"})
 			check.Equal(t, "scored", err == nil, tc.sound)
 			if tc.sound {
 				check.Equal(t, "score", score, 0.5)
--- a/sample/sample.go
+++ b/sample/sample.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	worker := sample.New(config, runner, logger)
+//	worker := sample.New(config, runner, budget, logger)
 //	worker.Run(ctx, call, func(done *wirepb.SampleDone) { ... })
 package sample
 
@@ -28,6 +28,7 @@
 	"github.com/currantloft/currantloft/chart"
 	"github.com/currantloft/currantloft/engine"
 	"github.com/currantloft/currantloft/event"
+	"github.com/currantloft/currantloft/intact"
 	"github.com/currantloft/currantloft/peers"
 	"github.com/currantloft/currantloft/permit"
 	"github.com/currantloft/currantloft/route"
@@ -71,12 +72,12 @@
 	}
 )
 
-// New returns a worker.
-func New(config *active.Config, runner *route.Runner, logger *zap.Logger) *Worker {
+// New returns a worker. The answers of scorers count towards the budget while they are read.
+func New(config *active.Config, runner *route.Runner, answers *intact.Budget, logger *zap.Logger) *Worker {
 	return &Worker{
 		config:      config,
 		runner:      runner,
-		scoreClient: newScoreClient(),
+		scoreClient: newScoreClient(answers),
 		sampleChart: chart.MustLoad("sample"),
 		logger:      logger,
 	}
--- a/sample/score.go
+++ b/sample/score.go
@@ -38,10 +38,10 @@
 	}
 )
 
-func newScoreClient() *scoreClient {
+func newScoreClient(answers *intact.Budget) *scoreClient {
 	return &scoreClient{client: intact.NewClient(&http.Transport{
 		DialContext: intact.Dial((&net.Dialer{}).DialContext), MaxIdleConnsPerHost: maxIdleConns,
-	}, nil)}
+	}, answers)}
 }
 
 // scoreUntilAnswered repeats a scoring request, which is idempotent, until it is
