--- a/integ/endless_test.go
+++ b/integ/endless_test.go
@@ -99,16 +99,23 @@
 	answer   endlessAnswer
 	// requests counts the requests.
 	requests atomic.Int64
+	// early answers come before the request's body is read. end ends the connection after the
+	// beginning of the answer, nil if the answer has no end.
+	early bool
+	end   func(conn net.Conn)
 }
 
 // startFlood starts a server whose answers have no end. It ends with the test.
-func startFlood(t testing.TB, answer endlessAnswer) *flood {
+func startFlood(t testing.TB, answer endlessAnswer, options ...func(*flood)) *flood {
 	t.Helper()
 	listener, err := net.Listen("tcp", newSubnet()+".1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	f := &flood{listener: listener, answer: answer}
+	for _, option := range options {
+		option(f)
+	}
 	var tasks sync.WaitGroup
 	done := make(chan struct{})
 	tasks.Go(func() {
@@ -146,14 +153,20 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return
+	if !f.early {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
 	}
 	f.requests.Add(1)
 	begin := strings.ReplaceAll(f.answer.begin, "ID", request.Header.Get("Attempt-Id"))
 	if _, err := io.WriteString(conn, begin); err != nil {
 		return
 	}
+	if f.end != nil {
+		f.end(conn)
+		return
+	}
 	if f.answer.part == "" {
 		// The rest never comes.
 		_, _ = io.Copy(io.Discard, conn)
@@ -173,11 +186,11 @@
 
 // addFloods registers endpoints of the endless service that answer like that, and waits until the
 // hosts know its routes.
-func (s *site) addFloods(answer endlessAnswer) []*flood {
+func (s *site) addFloods(answer endlessAnswer, options ...func(*flood)) []*flood {
 	s.t.Helper()
 	var floods []*flood
 	for i := range endlessServers {
-		f := startFlood(s.t, answer)
+		f := startFlood(s.t, answer, options...)
 		floods = append(floods, f)
 		s.putObject("servers", fmt.Sprintf("flood-%d", i), map[string]any{
 			"service": endlessPool, "address": f.address(), "zone": fmt.Sprintf("zone-%d", i%2), "version": "v1", "slots": 1000, "state": "ready",
