fix(detour): unread answers through other hosts exhaust a host's memory

What callers saw: a host that reaches no endpoint itself got whole events without an end through three other hosts, for 300 callers, and took 173 MB of 134. Cause: each connection through another host may hold 256 KiB that nobody has read yet. Those that a host keeps for others are limited by its memory, its own were not. Ruled out: the budget for answers, which passes such streams on by 4 KiB; the same stream without another host takes 59 MB.

--- a/detour/detour.go
+++ b/detour/detour.go
@@ -28,6 +28,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -76,10 +78,17 @@
 		Dial intact.DialFunc
 		// Clock is the clock that includes suspension.
 		Clock func() time.Duration
+		// MaxOpen is the largest number of connections through other hosts, 0 for no limit.
+		// Each takes up to peers.StreamWindowBytes of data that nobody has read.
+		MaxOpen int
 	}
 
 	// Dialer opens connections over paths. It is safe for concurrent use.
-	Dialer struct{ deps DialerDeps }
+	Dialer struct {
+		deps DialerDeps
+		// tunnels is the number of open connections through other hosts.
+		tunnels atomic.Int64
+	}
 
 	// notOpenError reports that a host has not connected to an endpoint.
 	notOpenError struct {
@@ -144,6 +153,20 @@
 	if d.deps.Peers == nil {
 		return nil, errNoPeers
 	}
+	if d.tunnels.Add(1) > int64(d.deps.MaxOpen) && d.deps.MaxOpen > 0 {
+		d.tunnels.Add(-1)
+		return nil, &notOpenError{host: path.Host, failure: reach.Failure{Isolated: true}}
+	}
+	conn, err := d.openTunnel(ctx, path, check)
+	if err != nil {
+		d.tunnels.Add(-1)
+		return nil, err
+	}
+	return conn, nil
+}
+
+// openTunnel asks another host to connect to an endpoint.
+func (d *Dialer) openTunnel(ctx context.Context, path reach.Path, check bool) (net.Conn, error) {
 	// The connection outlives the context of the dial.
 	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stopWaiting := context.AfterFunc(ctx, cancel)
@@ -170,7 +193,7 @@
 		return nil, &notOpenError{host: path.Host, failure: failure}
 	}
 	return &tunnel{
-		stream: stream, cancel: cancel, path: path, clock: d.deps.Clock,
+		stream: stream, cancel: cancel, closed: sync.OnceFunc(func() { d.tunnels.Add(-1) }), path: path, clock: d.deps.Clock,
 		offset: time.Duration(reply.GetClock()) - receivedAt,
 	}, nil
 }
--- a/detour/tunnel.go
+++ b/detour/tunnel.go
@@ -25,6 +25,8 @@
 	tunnel struct {
 		stream *peers.Stream
 		cancel context.CancelFunc
+		// closed records that the tunnel is closed.
+		closed func()
 		path   reach.Path
 		clock  func() time.Duration
 		// offset is by how much the other host's clock is ahead, at least.
@@ -100,6 +102,7 @@
 
 // Close closes the connection. The other host then resets or closes its own.
 func (t *tunnel) Close() error {
+	defer t.closed()
 	defer t.cancel()
 	return t.stream.Close()
 }
--- a/detour/tunnel_test.go
+++ b/detour/tunnel_test.go
@@ -225,6 +225,30 @@
 	check.Equal(t, "opened connections", opened, testMaxOpen)
 }
 
+// TestOwnDetoursAreBounded opens more connections through other hosts than this host may have.
+func TestOwnDetoursAreBounded(t *testing.T) {
+	const limit = testMaxOpen / 2
+	f := newDetourFixture(t)
+	f.dialer.deps.MaxOpen = limit
+	var open []net.Conn
+	for range 2 * limit {
+		if conn, err := f.dialer.Dial(t.Context(), f.path); err == nil {
+			open = append(open, conn)
+		}
+	}
+	check.Equal(t, "opened connections", len(open), limit)
+	for _, conn := range open {
+		_ = conn.Close()
+		_ = conn.Close()
+	}
+	check.Equal(t, "open connections", f.dialer.tunnels.Load(), 0)
+	conn, err := f.dialer.Dial(t.Context(), f.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.Close()
+}
+
 // TestResetDuringUploadThroughHost resets the connection of an endpoint to another host while that
 // writes to it.
 func TestResetDuringUploadThroughHost(t *testing.T) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -202,7 +202,7 @@
 func (e *Edge) connect(dial intact.DialFunc) {
 	e.book = reach.NewBook(time.Now)
 	others := &detourPeers{peerClient: e.peers}
-	dialer := detour.NewDialer(detour.DialerDeps{Book: e.book, Peers: others, Dial: dial, Clock: waits.Boottime})
+	dialer := detour.NewDialer(detour.DialerDeps{Book: e.book, Peers: others, Dial: dial, Clock: waits.Boottime, MaxOpen: maxDetours(e.settings.Load())})
 	e.sender = platform.NewSender(e.fleet, dialer, e.answers, e.logger)
 	e.detour = detour.NewSender(detour.SenderDeps{
 		Book: e.book, Dialer: dialer, Transport: e.sender, Hosts: others.Detours, Known: e.fleet.HasAddress,
--- a/integ/endless_test.go
+++ b/integ/endless_test.go
@@ -250,7 +250,7 @@
 	}
 	answers := endlessBodies()
 	maps.Copy(answers, endlessHeads())
-	for name, answer := range someOf(answers, "many headers") {
+	for name, answer := range someOf(answers, "many headers", "whole events") {
 		t.Run(name, func(t *testing.T) {
 			s := newSiteOfSettings(t, binary, fmt.Sprintf("limits.max_fds=%d\n", crowdDescriptors), 4, crowdTimeout, fake.EngineOptions{Software: "v1"})
 			h := s.hosts[0]
