--- a/edge/callers.go
+++ b/edge/callers.go
@@ -18,7 +18,7 @@
 	decodeShare = 0.125
 	batchShare  = 0.16
 	// textShare is the share of the memory for the texts of items that are not finished.
-	textShare = 0.1
+	textShare = 0.15
 	// answerShare is the share of the memory for answers of endpoints and of the platform's API
 	// while they are read, and storeShare that for replies of the store.
 	answerShare = 0.1
--- a/intact/intact.go
+++ b/intact/intact.go
@@ -1,13 +1,20 @@
-// Package intact makes sure that clients take an HTTP answer for whole only if it is.
+// Package intact makes sure that clients take an HTTP answer for whole only if it is, and that
+// answers take bounded memory while they are read.
 //
 // Clients of servers that may fail dial with Dial. It returns connections that tell an orderly
 // end from a reset, since an answer without a length ends with its connection. NewClient returns a
-// client that rejects answers whose heads net/http would accept although they are malformed.
+// client that rejects answers whose heads net/http would accept although they are malformed, and
+// that counts what answers take towards a Budget. ReadAll reads a body to its end. Readers that
+// keep parts of a body count them with the Hold of its answer.
 //
 // # Usage
 //
-//	client := intact.NewClient(&http.Transport{DialContext: intact.Dial(dialer.DialContext)})
+//	budget := intact.NewBudget(64 << 20)
+//	client := intact.NewClient(&http.Transport{DialContext: intact.Dial(dialer.DialContext)}, budget)
 //	response, err := client.Do(request)
+//	...
+//	defer response.Body.Close()
+//	body, err := intact.ReadAll(response.Body, limit)
 package intact
 
 import (
