--- a/intact/head.go
+++ b/intact/head.go
@@ -60,7 +60,7 @@
 		lines int
 		// begun is true after the status line.
 		begun bool
-		// minor is the minor version of HTTP/1.
+		// minor is the minor version of HTTP/1, and status that of the answer.
 		minor, status int
 		// encoded reports whether a line states an encoding of the body.
 		encoded bool
--- a/integ/endless_test.go
+++ b/integ/endless_test.go
@@ -93,7 +93,7 @@
 	return some
 }
 
-// flood is a server whose answers have no end.
+// flood is a server whose answers have no end, or end as it is told.
 type flood struct {
 	listener net.Listener
 	answer   endlessAnswer
@@ -105,7 +105,8 @@
 	end   func(conn net.Conn)
 }
 
-// startFlood starts a server whose answers have no end. It ends with the test.
+// startFlood starts a server whose answers have no end, unless the options give them one. It ends
+// with the test.
 func startFlood(t testing.TB, answer endlessAnswer, options ...func(*flood)) *flood {
 	t.Helper()
 	listener, err := net.Listen("tcp", newSubnet()+".1:0")
