--- a/batch/batch.go
+++ b/batch/batch.go
@@ -40,6 +40,8 @@
 		// Reward is the call whose answer scores the item's text. Without an ID the
 		// item needs no score.
 		Reward RewardCall
+		// Offset and RawBytes say where the item stands in the raw submission.
+		Offset, RawBytes int
 	}
 
 	// RewardCall is a POST request that scores the text of an item. It is sent through
