fix(batch): reads of bodies exhaust a host once a batch's keeper is gone

Cause: each read for which the keeper did not answer loaded and decoded the whole submission by itself, and nothing counted the raw bytes or the items; the cache kept the items and results of four batches of any size.

Change: what is read of batches counts in the memory for batches, and what is cached of them gives way to all else. A load reads part by part, keeps the bodies for which there is room, and serves all that wait for it; a body that is not kept is read from the parts that hold it. A caller waits 1.5 s for a body from the store, 503 after it; the load goes on for the next one. Readers of a page at another host share it.

Which chunk has a position is remembered for each known batch, since cached chunks may give way.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -42,6 +42,8 @@
 		Reward RewardCall
 		// Offset and RawBytes say where the item stands in the raw submission.
 		Offset, RawBytes int
+		// unloaded reports that the bodies are in the store only.
+		unloaded bool
 	}
 
 	// RewardCall is a POST request that scores the text of an item. It is sent through
@@ -70,6 +72,8 @@
 		Items         []Item
 		// Raw is the request body as received, which is what gets stored.
 		Raw []byte
+		// partBytes is the size of all parts in the store but the last one.
+		partBytes int
 	}
 
 	// Result is the final result of an item.
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -40,6 +40,13 @@
 	// findTimeout limits asking another node for an unknown batch, before the store is
 	// asked.
 	findTimeout = 300 * time.Millisecond
+	// answerWait is how long an answer waits for memory. Callers of bodies wait a second or longer.
+	answerWait = time.Second
+	// storedBodyWait is how long a caller waits for a body that is read from the store. The load goes on
+	// for the next one.
+	storedBodyWait = 1500 * time.Millisecond
+	// unknownBodyBytes is the estimated size of a body of a batch that this node does not know.
+	unknownBodyBytes = 64 << 10
 	// storedWait is how long a read waits for new results if this node should own
 	// the batch but has not taken it over yet.
 	storedWait = 300 * time.Millisecond
@@ -70,8 +77,8 @@
 	keeper, incarnation := k.chooseKeeper(ctx, s)
 	if keeper == k.deps.Name {
 		if !k.reserveMemory(s) {
-			event.BatchNotAccepted.Log(k.deps.Logger, zap.String("batch", s.ID), zap.Error(errNoMemory))
-			return Rejected{RetryAfter: acceptRetryAfter, Cause: errNoMemory}
+			event.BatchNotAccepted.Log(k.deps.Logger, zap.String("batch", s.ID), zap.Error(ErrNoMemory))
+			return Rejected{RetryAfter: acceptRetryAfter, Cause: ErrNoMemory}
 		}
 		defer k.releaseMemory(s)
 	}
@@ -249,10 +256,7 @@
 		return Page{}, err
 	}
 	if keeper != k.deps.Name {
-		callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
-		page, err = k.deps.Peers.ReadAt(callCtx, keeper, id, after, wait)
-		cancel()
-		if err == nil {
+		if page, err = k.readAt(ctx, keeper, id, after, wait); err == nil {
 			k.logEmptyPage(id, after, page, keeper)
 			if page.Checked || len(page.Results) > 0 || after >= page.Total {
 				return page, nil
@@ -275,6 +279,17 @@
 	return page, err
 }
 
+// readAt reads results at the node that owns a batch. Readers that wait at the same position share
+// the page.
+func (k *Keeper) readAt(ctx context.Context, keeper, id string, after int, wait time.Duration) (Page, error) {
+	key := fmt.Sprint("page/", keeper, "/", id, "/", after, "/", wait)
+	return shareLoad(ctx, k, key, func(ctx context.Context) (Page, error) {
+		ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+		defer cancel()
+		return k.deps.Peers.ReadAt(ctx, keeper, id, after, wait)
+	})
+}
+
 // logPeerError logs a failed call to a peer. ErrNotOwner means that the peer
 // answered but does not own the batch, or did not take the offer or the backup,
 // since it has restarted or is leaving; this is logged as a different event
@@ -385,7 +400,7 @@
 
 // Body returns the body of an item.
 func (k *Keeper) Body(ctx context.Context, id, item string) ([]byte, error) {
-	body, err := k.BodyLocal(id, item)
+	body, err := k.BodyLocal(ctx, id, item)
 	if !errors.Is(err, ErrNotOwner) {
 		return body, err
 	}
@@ -406,40 +421,100 @@
 }
 
 // BodyLocal returns the body of an item of a batch that this node owns.
-func (k *Keeper) BodyLocal(id, item string) ([]byte, error) {
+func (k *Keeper) BodyLocal(ctx context.Context, id, item string) ([]byte, error) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	j := k.jobs[id]
 	if j == nil {
+		k.mu.Unlock()
 		return nil, ErrNotOwner
 	}
-	return findBody(j.submission.Items, item)
+	it, ok := findItem(j.submission.Items, item)
+	partBytes := j.submission.partBytes
+	k.mu.Unlock()
+	if !ok {
+		return nil, ErrUnknown
+	}
+	return k.bodyOf(ctx, id, it, partBytes)
 }
 
+// bodyFromStore returns the body of an item of a batch whose owner does not answer.
 func (k *Keeper) bodyFromStore(ctx context.Context, head Head, item string) ([]byte, error) {
-	k.mu.Lock()
-	items := k.cache.get(head.ID).items
-	k.mu.Unlock()
-	if items == nil {
-		s, err := k.loadSubmission(ctx, head)
-		if err != nil {
+	ctx, cancel := context.WithTimeout(ctx, storedBodyWait)
+	defer cancel()
+	index, err := k.index(ctx, head)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUndetermined, err)
+	}
+	it, ok := findItem(index.Items, item)
+	if !ok {
+		return nil, ErrUnknown
+	}
+	return k.bodyOf(ctx, head.ID, it, index.partBytes)
+}
+
+// bodyOf returns the body of an item, which may have to be read from the store.
+func (k *Keeper) bodyOf(ctx context.Context, id string, it Item, partBytes int) ([]byte, error) {
+	if it.unloaded {
+		ctx, cancel := context.WithTimeout(ctx, storedBodyWait)
+		defer cancel()
+		var err error
+		if it, err = k.loadItem(ctx, id, it, partBytes); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrUndetermined, err)
 		}
-		items = s.Items
-		k.mu.Lock()
-		k.cache.get(head.ID).items = items
-		k.mu.Unlock()
 	}
-	return findBody(items, item)
+	return it.Body, nil
 }
 
-func findBody(items []Item, id string) ([]byte, error) {
+func findItem(items []Item, id string) (Item, bool) {
 	for i := range items {
 		if items[i].ID == id {
-			return items[i].Body, nil
+			return items[i], true
 		}
 	}
-	return nil, ErrUnknown
+	return Item{}, false
+}
+
+// HoldPage waits for memory for results that are sent to a caller, which the returned function releases
+// once they have been written. It returns ErrNoMemory if that takes too long.
+func (k *Keeper) HoldPage(ctx context.Context, bytes int64) (release func(), err error) {
+	return k.hold(ctx, k.pages, bytes)
+}
+
+// HoldBody is HoldPage for the body of an item.
+func (k *Keeper) HoldBody(ctx context.Context, id string) (release func(), err error) {
+	return k.hold(ctx, k.bodies, k.bodyBytes(id))
+}
+
+// HoldReply is HoldPage for results that are sent to a peer. Replies have memory of their own, since the
+// peer's caller holds memory there meanwhile.
+func (k *Keeper) HoldReply(ctx context.Context, bytes int64) (release func(), err error) {
+	return k.hold(ctx, k.replies, bytes)
+}
+
+// HoldBodyReply is HoldReply for the body of an item.
+func (k *Keeper) HoldBodyReply(ctx context.Context, id string) (release func(), err error) {
+	return k.hold(ctx, k.replies, k.bodyBytes(id))
+}
+
+func (k *Keeper) hold(ctx context.Context, s *section, bytes int64) (release func(), err error) {
+	ctx, cancel := context.WithTimeout(ctx, answerWait)
+	defer cancel()
+	if release, err = s.acquire(ctx, bytes); err != nil {
+		k.deps.Scope.Tagged(map[string]string{"use": "answer"}).Counter("batch_memory_refused").Inc(1)
+	}
+	return release, err
+}
+
+// bodyBytes returns about how much memory a read of an item's body takes: twice what the average item of
+// its batch takes in the store.
+func (k *Keeper) bodyBytes(id string) int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := k.batches[id]
+	if h == nil || h.head.Items == 0 {
+		return unknownBodyBytes
+	}
+	return 2 * int64(h.head.BodyParts) * int64(k.partBytes()) / int64(h.head.Items)
 }
 
 // End ends a batch. It returns once the end is stored durably.
--- a/batch/clean.go
+++ b/batch/clean.go
@@ -55,6 +55,7 @@
 	for _, head := range heads {
 		delete(k.batches, head.ID)
 		delete(k.jobs, head.ID)
+		k.cache.drop(head.ID)
 	}
 }
 
--- a/batch/job.go
+++ b/batch/job.go
@@ -121,6 +121,9 @@
 func (k *Keeper) newJob(head Head, s Submission) *job {
 	// The raw body is in the store; only the items are needed here.
 	s.Raw = nil
+	if s.partBytes == 0 {
+		s.partBytes = k.partBytes()
+	}
 	j := &job{
 		head: head, submission: s, route: k.routeOf(head), results: NewResultLog(s.Items),
 		items:       make([]itemState, len(s.Items)),
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -10,6 +10,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/currantloft/currantloft/event"
 	"github.com/currantloft/currantloft/fleet"
@@ -137,8 +139,10 @@
 		// IsLeader reports whether this node performs the tasks that only one node of
 		// the fleet performs.
 		IsLeader func() bool
-		// MemoryBytes limits the batches that this node takes on together, 0 for no limit.
-		MemoryBytes int64
+		// MemoryBytes limits what this node holds of all batches together, 0 for no limit. Beside it,
+		// LoadBytes limits what is being read from the store, and AnswerBytes each of the results and the
+		// bodies that callers get, and the replies to peers.
+		MemoryBytes, LoadBytes, AnswerBytes int64
 		// TextBytes limits the texts of unfinished items, 0 for no limit.
 		TextBytes int64
 		// Retention is how long results can be read.
@@ -147,6 +151,10 @@
 		Routes func() *routes.Table
 		// Decode parses the raw body of a submission.
 		Decode func(id, host, path string, raw []byte) (Submission, error)
+		// DecodeFrom does the same while the body is read, calls visit for each item, which may drop
+		// its bodies, and ends with its error. DecodeItem parses a part of the body that is one item.
+		DecodeFrom func(id, host, path string, r io.Reader, visit func(item *Item) error) (Submission, error)
+		DecodeItem func(raw []byte) (Item, error)
 		// Clock is the time since boot, including time suspended; nil means waits.Boottime.
 		Clock  func() time.Duration
 		Scope  tally.Scope
@@ -163,6 +171,13 @@
 		// handover signals that this node may have to take over a batch.
 		handover chan struct{}
 
+		// loads, pages, bodies and replies are the memory for what is being read from the store or sent
+		// to callers and peers. Loads wait for none of the others, bodies for replies of peers, and all
+		// for loads.
+		loads, pages, bodies, replies *section
+		// shared shares loads among those that need the same.
+		shared singleflight.Group
+
 		mu      sync.Mutex
 		jobs    map[string]*job
 		batches map[string]*knownBatch
@@ -171,8 +186,10 @@
 		groupEndpoints GroupEndpoints
 		cache          *cache
 		offers         map[string]offer
-		// accepting holds the memory of the batches that this node is about to take on.
+		// accepting holds the memory of the batches that this node is about to take on, loading those
+		// that are being read from the store.
 		accepting map[string]int64
+		loading   map[*load]struct{}
 		// submittedAt is when each batch was first submitted, as far as this node has
 		// seen it.
 		submittedAt map[string]time.Time
@@ -196,6 +213,8 @@
 		ended      bool
 		handedOver bool
 		takingOver bool
+		// ends are where the chunks end that this node has read or written.
+		ends       chunkEnds
 		emptyPages emptyPages
 	}
 )
@@ -209,8 +228,11 @@
 	k := &Keeper{
 		deps: deps, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), handover: make(chan struct{}, 1),
 		jobs: make(map[string]*job), batches: make(map[string]*knownBatch), groupEndpoints: make(GroupEndpoints),
-		cache: newCache(), offers: make(map[string]offer), accepting: make(map[string]int64), submittedAt: make(map[string]time.Time), partials: newPartialCache(),
+		cache: newCache(), offers: make(map[string]offer), accepting: make(map[string]int64), loading: make(map[*load]struct{}), submittedAt: make(map[string]time.Time), partials: newPartialCache(),
 	}
+	large := semaphore.NewWeighted(1)
+	k.loads = newSection(deps.LoadBytes, nil)
+	k.pages, k.bodies, k.replies = newSection(deps.AnswerBytes, nil), newSection(deps.AnswerBytes, large), newSection(deps.AnswerBytes, nil)
 	k.sweptAt = deps.Clock()
 	k.tasks.Go(k.scheduleLoop)
 	k.tasks.Go(k.sweepLoop)
@@ -222,10 +244,23 @@
 
 // Close stops all work and waits until it has ended.
 func (k *Keeper) Close() {
+	k.mu.Lock()
 	k.cancel()
+	k.mu.Unlock()
 	k.tasks.Wait()
 }
 
+// begin starts work that Close waits for. It returns false if the keeper is closed.
+func (k *Keeper) begin(work func()) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ctx.Err() != nil {
+		return false
+	}
+	k.tasks.Go(work)
+	return true
+}
+
 // Apply records a change to a batch reported by another node or the store.
 func (k *Keeper) Apply(notification Notification) {
 	k.mu.Lock()
@@ -380,10 +415,11 @@
 
 // startJob starts work on a batch. The caller holds the lock.
 func (k *Keeper) startJob(j *job) {
-	if k.jobs[j.head.ID] != nil {
+	if k.jobs[j.head.ID] != nil || k.ctx.Err() != nil {
 		return
 	}
 	k.jobs[j.head.ID] = j
+	k.cache.drop(j.head.ID)
 	j.submittedAt = k.submittedAt[j.head.ID]
 	if complete, resumed := k.restorePartials(j); complete+resumed > 0 {
 		event.BatchResumed.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Int("whole", complete), zap.Int("begun", resumed))
--- a/batch/keeper_test.go
+++ b/batch/keeper_test.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,7 +24,11 @@
 	"github.com/currantloft/currantloft/routes"
 )
 
-const testLimit = 10 * time.Second
+const (
+	testLimit = 10 * time.Second
+	// sizeMark stands before the size of an item's body in the item's name.
+	sizeMark = "~"
+)
 
 type (
 	// cluster is a set of keepers that reach each other unless they are marked
@@ -150,8 +156,8 @@
 	return page, err
 }
 
-func (p clusterPeers) BodyAt(_ context.Context, name, id, item string) ([]byte, error) {
-	return p.cluster.at(name).BodyLocal(id, item)
+func (p clusterPeers) BodyAt(ctx context.Context, name, id, item string) ([]byte, error) {
+	return p.cluster.at(name).BodyLocal(ctx, id, item)
 }
 
 func (p clusterPeers) SendPartials(_ context.Context, name string, partials []PartialOutput) error {
@@ -240,6 +246,7 @@
 		Name: name, Incarnation: 1, Store: store, ValueBytes: 1 << 20, Fleet: f, Engine: engine,
 		Policy: LongestFirst{},
 		Peers:  p, IsLeader: func() bool { return true }, Retention: time.Minute, Routes: func() *routes.Table { return table }, Decode: decodeTest,
+		DecodeFrom: decodeTestFrom, DecodeItem: decodeTestItem,
 		Clock: clock, Scope: tally.NoopScope, Logger: zap.NewNop(),
 	})
 	t.Cleanup(k.Close)
@@ -249,17 +256,54 @@
 // decodeTest decodes a submission that lists the names of its items, separated
 // by spaces.
 func decodeTest(id, host, path string, raw []byte) (Submission, error) {
-	s := Submission{ID: id, Host: host, Path: path, Model: testModel, DesiredGroups: 100, Raw: raw}
-	for _, name := range strings.Fields(string(raw)) {
-		item := Item{ID: name, Group: name, Path: "/b/" + name, Body: []byte("body of " + name)}
-		if strings.HasPrefix(name, scoredPrefix) {
-			item.Reward = RewardCall{ID: "reward-" + name, Host: "h", Path: rewardPath + name, Body: []byte("score " + name)}
+	s, err := decodeTestFrom(id, host, path, bytes.NewReader(raw), func(*Item) error { return nil })
+	s.Raw = raw
+	return s, err
+}
+
+// decodeTestFrom is decodeTest for a submission that is being read.
+func decodeTestFrom(id, host, path string, r io.Reader, visit func(*Item) error) (Submission, error) {
+	s := Submission{ID: id, Host: host, Path: path, Model: testModel, DesiredGroups: 100}
+	raw, err := io.ReadAll(r)
+	if err != nil {
+		return s, err
+	}
+	offset := 0
+	for _, name := range strings.Split(string(raw), " ") {
+		if name != "" {
+			item, err := decodeTestItem([]byte(name))
+			if err != nil {
+				return s, err
+			}
+			item.Offset, item.RawBytes = offset, len(name)
+			if err := visit(&item); err != nil {
+				return s, err
+			}
+			s.Items = append(s.Items, item)
 		}
-		s.Items = append(s.Items, item)
+		offset += len(name) + 1
 	}
 	return s, nil
 }
 
+// decodeTestItem returns the item of a name. A name that ends with a number of kilobytes has a body of
+// that size.
+func decodeTestItem(raw []byte) (Item, error) {
+	name := string(raw)
+	item := Item{ID: name, Group: name, Path: "/b/" + name, Body: []byte("body of " + name)}
+	if _, size, ok := strings.Cut(name, sizeMark); ok {
+		kilobytes, err := strconv.Atoi(size)
+		if err != nil {
+			return Item{}, err
+		}
+		item.Body = append(item.Body, make([]byte, kilobytes<<10)...)
+	}
+	if strings.HasPrefix(name, scoredPrefix) {
+		item.Reward = RewardCall{ID: "reward-" + name, Host: "h", Path: rewardPath + name, Body: []byte("score " + name)}
+	}
+	return item, nil
+}
+
 func submissionOf(t *testing.T, id string, items ...string) Submission {
 	t.Helper()
 	s, err := decodeTest(id, "h", "/b/x", []byte(strings.Join(items, " ")))
--- a/batch/resultlog.go
+++ b/batch/resultlog.go
@@ -13,8 +13,9 @@
 	missingByGroup map[string]int
 	groupOf        map[string]string
 	completeGroups int
-	chunks         int
-	ended          bool
+	// ends are where the chunks end.
+	ends  chunkEnds
+	ended bool
 }
 
 // NewResultLog returns a log for the given items, without results.
@@ -41,7 +42,7 @@
 func (l *ResultLog) Durable() int { return len(l.durable) }
 
 // Chunks returns how many chunks are durable.
-func (l *ResultLog) Chunks() int { return l.chunks }
+func (l *ResultLog) Chunks() int { return len(l.ends) }
 
 // Done reports whether every item has a result, durable or pending.
 func (l *ResultLog) Done() bool { return len(l.durableItems)+len(l.pendingItems) == len(l.items) }
@@ -66,6 +67,15 @@
 	return true
 }
 
+// resultsBytes returns about how much memory results take.
+func resultsBytes(results []Result) int64 {
+	total := 0
+	for i := range results {
+		total += resultOverhead + len(results[i].Text)
+	}
+	return int64(total)
+}
+
 // Pending returns how many results are pending.
 func (l *ResultLog) Pending() int { return len(l.pending) }
 
@@ -97,7 +107,7 @@
 		}
 	}
 	l.durable = append(l.durable, results...)
-	l.chunks++
+	l.ends.learn(len(l.ends), len(results))
 	remaining := l.pending[:0:0]
 	l.pendingItems = make(map[string]bool)
 	for _, r := range l.pending {
@@ -133,17 +143,27 @@
 // encoded text.
 func (l *ResultLog) Page(after, maxBytes int) Page {
 	page := Page{Total: len(l.items), Next: after}
+	if after < len(l.durable) {
+		page.fill(l.durable[after:], maxBytes)
+	}
+	return page
+}
+
+// fill adds results to an empty page, with at most about maxBytes bytes of encoded text.
+func (p *Page) fill(results []Result, maxBytes int) {
 	size := 0
-	for i := after; i < len(l.durable); i++ {
-		size += encodedBytes(l.durable[i].Text) + resultOverhead
-		if size > maxBytes && i > after {
-			break
+	for i, r := range results {
+		size += encodedBytes(r.Text) + resultOverhead
+		if size > maxBytes && i > 0 {
+			return
 		}
-		page.Results = append(page.Results, l.durable[i])
-		page.Next = i + 1
+		p.Results = append(p.Results, r)
+		p.Next++
 	}
-	return page
 }
 
+// Bytes returns about how much memory the page's results take.
+func (p Page) Bytes() int64 { return resultsBytes(p.Results) }
+
 // resultOverhead is the size of an encoded result beside its text, in bytes.
 const resultOverhead = 128
--- a/batch/search_test.go
+++ b/batch/search_test.go
@@ -113,7 +113,7 @@
 	var out strings.Builder
 	fmt.Fprint(&out, s.store)
 	for k, l := range s.logs {
-		fmt.Fprint(&out, "|", l.durable, l.pending, l.chunks, s.delayed[k])
+		fmt.Fprint(&out, "|", l.durable, l.pending, l.Chunks(), s.delayed[k])
 	}
 	return out.String()
 }
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -5,50 +5,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/routes"
 )
 
-const (
-	// bodyPartShare is the share of an object's maximum size that a part of a body
-	// may take, since JSON encodes bytes in base64.
-	bodyPartShare = 0.7
-	// maxCachedBatches limits the batches of other keepers that are cached in
-	// memory.
-	maxCachedBatches = 4
-)
-
-type (
-	// cache holds stored data of batches that other nodes own.
-	cache struct {
-		batches map[string]*cachedBatch
-		order   []string
-	}
-
-	// cachedBatch is the cached data of one batch. Chunks never change.
-	cachedBatch struct {
-		results []Result
-		chunks  int
-		items   []Item
-	}
-)
-
-func newCache() *cache { return &cache{batches: make(map[string]*cachedBatch)} }
-
-func (c *cache) get(id string) *cachedBatch {
-	if cached := c.batches[id]; cached != nil {
-		return cached
-	}
-	if len(c.order) >= maxCachedBatches {
-		delete(c.batches, c.order[0])
-		c.order = c.order[1:]
-	}
-	cached := &cachedBatch{}
-	c.batches[id] = cached
-	c.order = append(c.order, id)
-	return cached
-}
+// bodyPartShare is the share of an object's maximum size that a part of a body may take, since JSON
+// encodes bytes in base64.
+const bodyPartShare = 0.7
 
 func numberedName(id string, n int) string { return fmt.Sprintf("%s.%04d", id, n) }
 
@@ -65,7 +30,7 @@
 
 // storeBody writes the raw submission, split into parts that fit the store.
 func (k *Keeper) storeBody(ctx context.Context, s Submission) (parts int, err error) {
-	maxBytes := int(float64(k.deps.ValueBytes) * bodyPartShare)
+	maxBytes := k.partBytes()
 	for start := 0; start < len(s.Raw) || parts == 0; start += maxBytes {
 		spec, err := json.Marshal(bodyPart{Raw: s.Raw[start:min(len(s.Raw), start+maxBytes)]})
 		if err != nil {
@@ -163,29 +128,63 @@
 
 // readFromStore reads results of a batch that no reachable node owns.
 func (k *Keeper) readFromStore(ctx context.Context, head Head, after int) (Page, error) {
-	k.mu.Lock()
-	cached := *k.cache.get(head.ID)
-	k.mu.Unlock()
-	for len(cached.results) <= after {
-		c, err := k.readChunk(ctx, head.ID, cached.chunks)
+	for {
+		k.mu.Lock()
+		h := k.batches[head.ID]
+		if h == nil {
+			k.mu.Unlock()
+			return Page{}, fmt.Errorf("%w: its results can't be read any more", ErrUndetermined)
+		}
+		k.learnEnds(h)
+		results, n := k.cache.get(head.ID).resultsFrom(after, h.ends), h.ends.chunkOf(after)
+		k.mu.Unlock()
+		page := Page{Total: head.Items, Next: after}
+		if len(results) > 0 {
+			page.fill(results, maxPageBytes)
+			return page, nil
+		}
+		c, err := shareLoad(ctx, k, fmt.Sprint("chunk/", head.ID, "/", n), func(ctx context.Context) (chunk, error) {
+			release, err := k.loads.acquire(ctx, k.partMemory())
+			if err != nil {
+				return chunk{}, err
+			}
+			defer release()
+			return k.readChunk(ctx, head.ID, n)
+		})
 		if errors.Is(err, object.ErrNotFound) {
-			break
+			return page, nil
 		}
 		if err != nil {
 			return Page{}, fmt.Errorf("%w: %w", ErrUndetermined, err)
 		}
-		cached.results = append(cached.results[:len(cached.results):len(cached.results)], c.Results...)
-		cached.chunks++
+		if results := k.cacheChunk(h, n, after, c.Results); len(results) > 0 {
+			page.fill(results, maxPageBytes)
+			return page, nil
+		}
 	}
+}
+
+// cacheChunk caches the results of a chunk if there is room for them, and returns those from a position on.
+func (k *Keeper) cacheChunk(h *knownBatch, n, after int, results []Result) []Result {
 	k.mu.Lock()
-	if current := k.cache.get(head.ID); current.chunks < cached.chunks {
-		current.results, current.chunks = cached.results, cached.chunks
-	}
-	k.mu.Unlock()
-	results := ResultLog{durable: cached.results}
-	page := results.Page(after, maxPageBytes)
-	page.Total = head.Items
-	return page, nil
+	defer k.mu.Unlock()
+	h.ends.learn(n, len(results))
+	if k.makeRoom(h.head.ID, resultsBytes(results)) {
+		k.cache.get(h.head.ID).put(n, results)
+	}
+	first := h.ends.start(n)
+	if after < first || after >= first+len(results) {
+		return nil
+	}
+	return results[after-first:]
+}
+
+// learnEnds records where the chunks end that this node has written as the keeper. The caller holds the
+// lock.
+func (k *Keeper) learnEnds(h *knownBatch) {
+	if j := k.jobs[h.head.ID]; j != nil && len(j.results.ends) > len(h.ends) {
+		h.ends = slices.Clone(j.results.ends)
+	}
 }
 
 func (k *Keeper) routeOf(head Head) routes.Route {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -178,7 +178,9 @@
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
 		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour, Routes: e.table.Load}, Peers: e.peers, IsLeader: e.isLeader,
 		Policy: options.Policy.items, Retention: settings.Retention(), Routes: e.table.Load,
-		MemoryBytes: share(settings, batchShare), TextBytes: share(settings, textShare), Decode: e.decoder.Decode, Scope: e.meter.Scope(), Logger: logger,
+		MemoryBytes: share(settings, batchShare), LoadBytes: share(settings, loadShare),
+		AnswerBytes: share(settings, readShare), TextBytes: share(settings, textShare),
+		Decode: e.decoder.Decode, DecodeFrom: platform.DecodeBatchFrom, DecodeItem: platform.DecodeItem, Scope: e.meter.Scope(), Logger: logger,
 	})
 	e.orderSender = orders.New(orders.Deps{
 		Name: self.Name, Store: e.store, Fleet: e.fleet, Policy: options.Policy.versions,
@@ -433,5 +435,15 @@
 	return e.keeper.Body(ctx, id, item)
 }
 
+// HoldPage waits for memory for results that are to be written.
+func (e *Edge) HoldPage(ctx context.Context, bytes int64) (release func(), err error) {
+	return e.keeper.HoldPage(ctx, bytes)
+}
+
+// HoldBody waits for memory for the body of an item of a batch.
+func (e *Edge) HoldBody(ctx context.Context, id string) (release func(), err error) {
+	return e.keeper.HoldBody(ctx, id)
+}
+
 // End ends a batch.
 func (e *Edge) End(ctx context.Context, id string) error { return e.keeper.End(ctx, id) }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -385,9 +385,13 @@
 		found, _ := e.keeper.Find(body.BatchFind.GetId())
 		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchNotice{BatchNotice: encodeNotification(found)}}
 	case *wirepb.Frame_BatchRead:
-		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: e.serveRead(ctx, body.BatchRead)}}
+		page, release := e.serveRead(ctx, body.BatchRead)
+		defer release()
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchPage{BatchPage: page}}
 	case *wirepb.Frame_BatchBody:
-		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchBodyReply{BatchBodyReply: e.serveBody(body.BatchBody)}}
+		found, release := e.serveBody(ctx, body.BatchBody)
+		defer release()
+		reply = &wirepb.Frame{Body: &wirepb.Frame_BatchBodyReply{BatchBodyReply: found}}
 	case *wirepb.Frame_StoreCall:
 		reply = &wirepb.Frame{Body: &wirepb.Frame_StoreReply{StoreReply: e.serveStore(ctx, body.StoreCall)}}
 	default:
@@ -401,23 +405,32 @@
 	}
 }
 
-func (e *Edge) serveRead(ctx context.Context, read *wirepb.BatchRead) *wirepb.BatchPage {
-	page, err := e.keeper.ReadLocal(ctx, read.GetId(), int(read.GetAfter()), time.Duration(read.GetWaitMs())*time.Millisecond)
+// serveRead returns results to a peer. The reply takes memory until the returned function is called.
+func (e *Edge) serveRead(ctx context.Context, read *wirepb.BatchRead) (page *wirepb.BatchPage, release func()) {
+	found, err := e.keeper.ReadLocal(ctx, read.GetId(), int(read.GetAfter()), time.Duration(read.GetWaitMs())*time.Millisecond)
+	if err == nil {
+		release, err = e.keeper.HoldReply(ctx, found.Bytes())
+	}
 	if err != nil {
-		return &wirepb.BatchPage{}
+		return &wirepb.BatchPage{}, func() {}
 	}
-	return encodePage(page)
+	return encodePage(found), release
 }
 
-func (e *Edge) serveBody(call *wirepb.BatchBody) *wirepb.BatchBodyReply {
-	body, err := e.keeper.BodyLocal(call.GetId(), call.GetItem())
-	switch err {
-	case nil:
-		return &wirepb.BatchBodyReply{Kept: true, Found: true, Body: body}
-	case batch.ErrUnknown:
-		return &wirepb.BatchBodyReply{Kept: true}
+// serveBody returns an item's body to a peer. The reply takes memory until the returned function is called.
+func (e *Edge) serveBody(ctx context.Context, call *wirepb.BatchBody) (reply *wirepb.BatchBodyReply, release func()) {
+	release, err := e.keeper.HoldBodyReply(ctx, call.GetId())
+	if err != nil {
+		return &wirepb.BatchBodyReply{}, func() {}
+	}
+	body, err := e.keeper.BodyLocal(ctx, call.GetId(), call.GetItem())
+	switch {
+	case err == nil:
+		return &wirepb.BatchBodyReply{Kept: true, Found: true, Body: body}, release
+	case errors.Is(err, batch.ErrUnknown):
+		return &wirepb.BatchBodyReply{Kept: true}, release
 	default:
-		return &wirepb.BatchBodyReply{}
+		return &wirepb.BatchBodyReply{}, release
 	}
 }
 
