fix(batch): hosts that take batches over exceed their memory, again and again

Cause: only acceptance looked at the memory for batches. Taking over did not, held the raw body beside the decoded items, and began anew after each end. With takeovers that don't look at the memory TestTakeoversExceedMemory fails: 286,832 bytes of four batches, want at most 204,800.

Change: a host that takes a batch over needs memory for its items without their bodies; bodies are kept as far as there is room. An item whose body is in the store only reads it when it is sent, within memory that such items wait for. Bodies of open batches give way to batches that are taken over, largest batch first; a batch that is submitted leaves each other one a quarter of the memory for its bodies. A host that has no room even for the items tries again every second, and after five seconds the next host by rank takes the batch over, once it has asked those before it (TestOwedBatchWaitsForOneHost fails without that).

--- a/batch/account_test.go
+++ b/batch/account_test.go
@@ -19,6 +19,8 @@
 	accountRetention = 3 * time.Minute
 	// accountValueBytes is the size of an object, so that long batches have several parts and chunks.
 	accountValueBytes = 1000
+	// listBound is how long after a batch's time, or after the last fault, its items must be listed.
+	listBound = 30 * time.Second
 )
 
 type (
@@ -31,10 +33,17 @@
 		accountMu sync.Mutex
 		live      []string
 		added     int
+		accepted  map[string]*accountBatch
 		problem   string
 		tasks     sync.WaitGroup
 	}
 
+	// accountBatch is an accepted batch.
+	accountBatch struct {
+		items      []string
+		acceptedAt time.Time
+	}
+
 	// accountPeers is a host's view of the other hosts. A host that was removed does not answer.
 	accountPeers struct{ readPeers }
 
@@ -68,7 +77,7 @@
 }
 
 func newAccountSite(t *testing.T, seed uint64, hosts int) *accountSite {
-	s := &accountSite{lateSite: newLateSite(seed), t: t}
+	s := &accountSite{lateSite: newLateSite(seed), t: t, accepted: make(map[string]*accountBatch)}
 	for range hosts {
 		s.addHost()
 	}
@@ -125,6 +134,15 @@
 	return slices.Clone(s.live)
 }
 
+// host returns a live host, nil if there is none.
+func (s *accountSite) host() *Keeper {
+	live := s.hosts()
+	if len(live) == 0 {
+		return nil
+	}
+	return s.at(live[s.upTo(time.Duration(len(live)-1))])
+}
+
 // remove removes a host for good.
 func (s *accountSite) remove(name string) {
 	s.accountMu.Lock()
@@ -143,3 +161,72 @@
 	}
 	time.Sleep(5 * settleBound)
 }
+
+// checkMemory checks what the live hosts hold. One batch alone may take more than the memory.
+func (s *accountSite) checkMemory() {
+	for _, name := range s.hosts() {
+		held := heldByBatch(s.at(name))
+		total := int64(0)
+		for _, bytes := range held {
+			total += bytes
+		}
+		if total > accountBytes && len(held) > 1 {
+			s.fail("after %v %s holds %d bytes of %d batches, want at most %d: %v", time.Since(s.began), name, total, len(held), accountBytes, held)
+		}
+	}
+}
+
+// heldByBatch adds up the bodies that a host really holds, whatever it has counted.
+func heldByBatch(k *Keeper) map[string]int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	held := make(map[string]int64)
+	count := func(id string, items []Item) {
+		for i := range items {
+			held[id] += items[i].bodyBytes()
+		}
+		if held[id] == 0 {
+			delete(held, id)
+		}
+	}
+	for id, j := range k.jobs {
+		count(id, j.submission.Items)
+	}
+	for id, o := range k.offers {
+		count(id, o.submission.Items)
+		held[id] += int64(len(o.submission.Raw))
+	}
+	for l := range k.loading {
+		if l.bytes > 0 {
+			held[l.head.ID] += l.bytes
+		}
+	}
+	for id, c := range k.cache.batches {
+		if c.index != nil {
+			count(id, c.index.Items)
+		}
+	}
+	return held
+}
+
+// checkListed waits until all items of each batch that was not ended are listed, each once.
+func (s *accountSite) checkListed(id string, b *accountBatch, until time.Time) {
+	listed := make(map[string]bool)
+	var err error
+	for time.Now().Before(until) && len(listed) < len(b.items) {
+		var page Page
+		if page, err = s.host().Read(s.t.Context(), id, len(listed), time.Second); err != nil || len(page.Results) == 0 {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		for _, r := range page.Results {
+			if listed[r.Item] || !slices.Contains(b.items, r.Item) {
+				s.fail("%s lists %s twice, or not its own", id, r.Item)
+			}
+			listed[r.Item] = true
+		}
+	}
+	if len(listed) < len(b.items) {
+		s.fail("%s has %d of %d items listed %v after its submission: %v", id, len(listed), len(b.items), time.Since(b.acceptedAt), err)
+	}
+}
--- a/batch/calls.go
+++ b/batch/calls.go
@@ -77,6 +77,7 @@
 	keeper, incarnation := k.chooseKeeper(ctx, s)
 	if keeper == k.deps.Name {
 		if !k.reserveMemory(s) {
+			k.deps.Scope.Tagged(map[string]string{"use": "accept"}).Counter("batch_memory_refused").Inc(1)
 			event.BatchNotAccepted.Log(k.deps.Logger, zap.String("batch", s.ID), zap.Error(ErrNoMemory))
 			return Rejected{RetryAfter: acceptRetryAfter, Cause: ErrNoMemory}
 		}
@@ -178,7 +179,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.leaving || !k.hasRoom(s) {
+	if k.leaving || !k.hasRoom(id, s.MemoryBytes()) {
 		return false
 	}
 	if k.batches[id] != nil && k.hasTeams() {
@@ -190,7 +191,7 @@
 		// read from the store.
 		clear(k.offers)
 	}
-	k.offers[id] = offer{submission: s, heldAt: k.deps.Clock()}
+	k.offers[id] = offer{submission: s, bytes: s.MemoryBytes() + int64(len(s.Raw)), heldAt: k.deps.Clock()}
 	k.firstSubmission(id, time.Now())
 	return true
 }
--- a/batch/job.go
+++ b/batch/job.go
@@ -40,8 +40,9 @@
 		// if this node has not seen it.
 		submittedAt time.Time
 		released    bool
-		// memoryBytes is about how much memory the submission takes.
-		memoryBytes int64
+		// indexBytes is about how much memory the items take without their bodies, bodyBytes that
+		// of the bodies in memory.
+		indexBytes, bodyBytes int64
 		// lastDone is the item that ended last.
 		lastDone lastItem
 		// backupNode is the node that holds a backup of the partial output; backedUp
@@ -126,11 +127,11 @@
 	}
 	j := &job{
 		head: head, submission: s, route: k.routeOf(head), results: NewResultLog(s.Items),
-		items:       make([]itemState, len(s.Items)),
-		memoryBytes: s.MemoryBytes(), running: make(map[int]*itemRun),
+		items: make([]itemState, len(s.Items)), running: make(map[int]*itemRun),
 		backedUp: make(map[string]int),
 		changed:  make(chan struct{}), resultReady: make(chan struct{}, 1),
 	}
+	j.indexBytes, j.bodyBytes = s.itemBytes()
 	for i := range j.items {
 		j.items[i].lastEvent = -1
 	}
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -140,9 +140,10 @@
 		// the fleet performs.
 		IsLeader func() bool
 		// MemoryBytes limits what this node holds of all batches together, 0 for no limit. Beside it,
-		// LoadBytes limits what is being read from the store, and AnswerBytes each of the results and the
-		// bodies that callers get, and the replies to peers.
-		MemoryBytes, LoadBytes, AnswerBytes int64
+		// LoadBytes limits what is being read from the store, SendBytes the bodies that were read to
+		// be sent, and AnswerBytes each of the results and the bodies that callers get, and the replies to
+		// peers.
+		MemoryBytes, LoadBytes, SendBytes, AnswerBytes int64
 		// TextBytes limits the texts of unfinished items, 0 for no limit.
 		TextBytes int64
 		// Retention is how long results can be read.
@@ -171,10 +172,10 @@
 		// handover signals that this node may have to take over a batch.
 		handover chan struct{}
 
-		// loads, pages, bodies and replies are the memory for what is being read from the store or sent
-		// to callers and peers. Loads wait for none of the others, bodies for replies of peers, and all
-		// for loads.
-		loads, pages, bodies, replies *section
+		// loads, sends, pages, bodies and replies are the memory for what is being read from the store
+		// or sent to endpoints, callers and peers. Loads wait for none of the others, bodies for replies
+		// of peers, and all for loads.
+		loads, sends, pages, bodies, replies *section
 		// shared shares loads among those that need the same.
 		shared singleflight.Group
 
@@ -204,6 +205,7 @@
 	// by the clock that includes suspension.
 	offer struct {
 		submission Submission
+		bytes      int64
 		heldAt     time.Duration
 	}
 
@@ -214,7 +216,13 @@
 		handedOver bool
 		takingOver bool
 		// ends are where the chunks end that this node has read or written.
-		ends       chunkEnds
+		ends chunkEnds
+		// retryAt is when the next takeover may begin, by the clock that includes suspension.
+		retryAt time.Duration
+		// orphanedAt is since when no live node owns the batch, by that clock; orphaned reports that
+		// none does.
+		orphaned   bool
+		orphanedAt time.Duration
 		emptyPages emptyPages
 	}
 )
@@ -231,7 +239,7 @@
 		cache: newCache(), offers: make(map[string]offer), accepting: make(map[string]int64), loading: make(map[*load]struct{}), submittedAt: make(map[string]time.Time), partials: newPartialCache(),
 	}
 	large := semaphore.NewWeighted(1)
-	k.loads = newSection(deps.LoadBytes, nil)
+	k.loads, k.sends = newSection(deps.LoadBytes, nil), newSection(deps.SendBytes, large)
 	k.pages, k.bodies, k.replies = newSection(deps.AnswerBytes, nil), newSection(deps.AnswerBytes, large), newSection(deps.AnswerBytes, nil)
 	k.sweptAt = deps.Clock()
 	k.tasks.Go(k.scheduleLoop)
@@ -420,6 +428,8 @@
 	}
 	k.jobs[j.head.ID] = j
 	k.cache.drop(j.head.ID)
+	delete(k.accepting, j.head.ID)
+	k.makeRoom(j.head.ID, 0, true)
 	j.submittedAt = k.submittedAt[j.head.ID]
 	if complete, resumed := k.restorePartials(j); complete+resumed > 0 {
 		event.BatchResumed.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.Int("whole", complete), zap.Int("begun", resumed))
--- a/batch/load.go
+++ b/batch/load.go
@@ -27,6 +27,9 @@
 	sharedLoadTimeout = 20 * time.Second
 )
 
+// errBodyNotLoaded reports that an item was not sent since its body could not be read.
+var errBodyNotLoaded = errors.New("the item's body could not be read from the store")
+
 type (
 	// section is a part of the memory for batches whose users wait for each other.
 	section struct {
@@ -47,6 +50,8 @@
 		rest []byte
 		// partBytes is the size of all parts but the last one.
 		partBytes int
+		// allBodies reports that bodies of other open batches give way.
+		allBodies bool
 		// bytes is about how much memory the items take so far.
 		bytes int64
 	}
@@ -136,11 +141,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	index, bodies := it.IndexBytes(), it.bodyBytes()
-	if !k.makeRoom(l.head.ID, index) {
+	if !k.makeRoom(l.head.ID, index, l.allBodies) {
 		return ErrNoMemory
 	}
 	l.bytes += index
-	if all, _ := k.memoryOf(l.head.ID); k.deps.MemoryBytes > 0 && all+bodies > k.deps.MemoryBytes {
+	if all, _ := k.memoryOf(l.head.ID); k.deps.MemoryBytes > 0 && all.total()+bodies > k.deps.MemoryBytes {
 		it.dropBodies()
 		return nil
 	}
@@ -150,8 +155,8 @@
 
 // beginLoad makes the memory of a load count. The caller calls endLoad in the end, under the lock
 // under which what was loaded counts otherwise.
-func (k *Keeper) beginLoad(ctx context.Context, head Head) *load {
-	l := &load{keeper: k, head: head, ctx: ctx, partBytes: k.partBytes()}
+func (k *Keeper) beginLoad(ctx context.Context, head Head, allBodies bool) *load {
+	l := &load{keeper: k, head: head, ctx: ctx, allBodies: allBodies, partBytes: k.partBytes()}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.loading[l] = struct{}{}
@@ -184,7 +189,7 @@
 			return nil, err
 		}
 		defer release()
-		l := k.beginLoad(ctx, head)
+		l := k.beginLoad(ctx, head, false)
 		s, err := l.submission()
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -231,6 +236,26 @@
 	})
 }
 
+// itemToSend returns an item with its bodies. The release function is called once it has been sent.
+func (k *Keeper) itemToSend(ctx context.Context, j *job, i int) (it Item, release func(), err error) {
+	k.mu.Lock()
+	it = j.submission.Items[i]
+	k.mu.Unlock()
+	if !it.unloaded {
+		return it, func() {}, nil
+	}
+	release, err = k.sends.acquire(ctx, int64(it.RawBytes))
+	if err == nil {
+		if it, err = k.loadItem(ctx, j.head.ID, it, j.submission.partBytes); err != nil {
+			release()
+		}
+	}
+	if err != nil {
+		return Item{}, nil, fmt.Errorf("%w: %w", errBodyNotLoaded, err)
+	}
+	return it, release, nil
+}
+
 // shareLoad calls load once for all callers that need the same at the same time. A load that has
 // begun goes on without them.
 func shareLoad[T any](ctx context.Context, k *Keeper, key string, load func(ctx context.Context) (T, error)) (T, error) {
--- a/batch/memory.go
+++ b/batch/memory.go
@@ -5,9 +5,17 @@
 	"net/http"
 )
 
-// itemOverheadBytes is what an item takes besides its texts: its fields, its header's map and
-// the state of its run.
-const itemOverheadBytes = 600
+const (
+	// itemOverheadBytes is what an item takes besides its texts: its fields, its header's map and
+	// the state of its run.
+	itemOverheadBytes = 600
+	// bodyShare is the share of the memory for batches up to which the bodies of a batch's items
+	// do not give way to a batch that is submitted.
+	bodyShare = 0.25
+	// evictPart is the part of the memory for batches that bodies leave at least at once, since
+	// finding out which ones takes time.
+	evictPart = 64
+)
 
 // ErrNoMemory reports that this node has no memory for a batch, or for a part of it, now.
 var ErrNoMemory = errors.New("this node has no memory for another batch")
@@ -50,75 +58,148 @@
 	return total
 }
 
-// reserveMemory reserves memory for a batch that this node is about to take on, and reports
-// whether there is enough.
-func (k *Keeper) reserveMemory(s Submission) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.hasRoom(s) {
-		return false
-	}
-	k.accepting[s.ID] = s.MemoryBytes()
-	return true
-}
+// memoryUse is about how much memory this node uses because of batches, by what for. Bodies and cached
+// batches can be read from the store again.
+type memoryUse struct{ index, bodies, offers, accepting, loading, cached int64 }
 
-// releaseMemory ends a reservation. A batch that was accepted counts by its job from then on.
-func (k *Keeper) releaseMemory(s Submission) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.accepting, s.ID)
-}
-
-// hasRoom reports whether another batch fits beside those that this node works on or may have
-// to work on. One batch always fits. The caller holds the lock.
-func (k *Keeper) hasRoom(s Submission) bool {
-	_, own := k.memoryOf(s.ID)
-	return k.makeRoom(s.ID, s.MemoryBytes()-own)
+func (u memoryUse) total() int64 {
+	return u.index + u.bodies + u.offers + u.accepting + u.loading + u.cached
 }
 
 // memoryOf adds up the memory that batches take: all, or the one with the given ID. The caller
 // holds the lock.
-func (k *Keeper) memoryOf(id string) (all, own int64) {
-	add := func(batch string, bytes int64) {
-		all += bytes
+func (k *Keeper) memoryOf(id string) (all, own memoryUse) {
+	add := func(batch string, use memoryUse) {
+		all.add(use)
 		if batch == id {
-			own += bytes
+			own.add(use)
 		}
 	}
 	for batch, j := range k.jobs {
 		if !j.results.Ended() {
-			add(batch, j.memoryBytes)
+			add(batch, memoryUse{index: j.indexBytes, bodies: j.bodyBytes})
 		}
 	}
 	for batch, o := range k.offers {
-		add(batch, o.submission.MemoryBytes()+int64(len(o.submission.Raw)))
+		add(batch, memoryUse{offers: o.bytes})
 	}
 	for batch, bytes := range k.accepting {
-		add(batch, bytes)
+		add(batch, memoryUse{accepting: bytes})
 	}
 	for l := range k.loading {
-		add(l.head.ID, l.bytes)
+		add(l.head.ID, memoryUse{loading: l.bytes})
 	}
 	for batch, c := range k.cache.batches {
-		add(batch, c.bytes())
+		add(batch, memoryUse{cached: c.bytes()})
 	}
 	return all, own
 }
 
-// makeRoom reports whether a batch may take further memory. What is cached gives way to it. A batch that
-// takes all memory alone may take more. The caller holds the lock.
-func (k *Keeper) makeRoom(id string, bytes int64) bool {
+func (u *memoryUse) add(v memoryUse) {
+	u.index += v.index
+	u.bodies += v.bodies
+	u.offers += v.offers
+	u.accepting += v.accepting
+	u.loading += v.loading
+	u.cached += v.cached
+}
+
+// reserveMemory reserves memory for a batch that this node is about to take on, and reports
+// whether there is enough. Bodies beyond bodyShare need none: they are stored before the batch is
+// accepted.
+func (k *Keeper) reserveMemory(s Submission) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	index, bodies := s.itemBytes()
+	bytes := index + min(bodies, int64(bodyShare*float64(k.deps.MemoryBytes)))
+	if !k.hasRoom(s.ID, bytes) {
+		return false
+	}
+	k.accepting[s.ID] = bytes
+	return true
+}
+
+// releaseMemory ends a reservation. A batch that was accepted counts by its job from then on.
+func (k *Keeper) releaseMemory(s Submission) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.accepting, s.ID)
+}
+
+// hasRoom reports whether a submitted batch that takes the given memory fits beside those that this
+// node works on or may have to work on. One batch always fits. The caller holds the lock.
+func (k *Keeper) hasRoom(id string, bytes int64) bool {
+	_, own := k.memoryOf(id)
+	return k.makeRoom(id, bytes-own.total(), false)
+}
+
+// makeRoom reports whether a batch may take further memory. What can be read from the store again
+// gives way to it; bodies of open batches do so beyond bodyShare or, if allBodies is true, entirely. A
+// batch that takes all memory alone may take more. The caller holds the lock.
+func (k *Keeper) makeRoom(id string, bytes int64, allBodies bool) bool {
 	limit := k.deps.MemoryBytes
 	if limit <= 0 {
 		return true
 	}
 	for {
 		all, own := k.memoryOf(id)
-		if all+bytes <= limit {
+		excess := all.total() + bytes - limit
+		if excess <= 0 {
 			return true
 		}
-		if !k.cache.evictOldest() {
-			return all == own
+		if !k.evict(excess, allBodies) {
+			return all.total() == own.total()
 		}
 	}
 }
+
+// evict drops from memory something that can be read from the store again, the least needed first.
+// It reports false if there is nothing. The caller holds the lock.
+func (k *Keeper) evict(bytes int64, allBodies bool) bool {
+	return k.cache.evictOldest() || k.evictBodies(bytes, allBodies)
+}
+
+// evictBodies drops bodies of the batch that has most of them, at most about as many bytes as given.
+func (k *Keeper) evictBodies(bytes int64, all bool) bool {
+	protected := int64(0)
+	if !all {
+		protected = int64(bodyShare * float64(k.deps.MemoryBytes))
+	}
+	var largest *job
+	for _, j := range k.jobs {
+		if !j.results.Ended() && j.bodyBytes > protected && (largest == nil || j.bodyBytes > largest.bodyBytes) {
+			largest = j
+		}
+	}
+	if largest == nil {
+		return false
+	}
+	bytes = max(bytes, k.deps.MemoryBytes/evictPart)
+	for i := len(largest.submission.Items) - 1; i >= 0 && bytes > 0 && largest.bodyBytes > protected; i-- {
+		bytes -= largest.dropBodies(i)
+	}
+	return true
+}
+
+// dropBodies drops the bodies of an item and returns how many bytes they took. The caller holds the
+// lock.
+func (j *job) dropBodies(i int) int64 {
+	it := &j.submission.Items[i]
+	bytes := it.bodyBytes()
+	if bytes > 0 {
+		it.dropBodies()
+		j.bodyBytes -= bytes
+	}
+	return bytes
+}
+
+// reportMemory updates the metrics of the memory that batches take. The caller holds the lock.
+func (k *Keeper) reportMemory() {
+	use, _ := k.memoryOf("")
+	for part, bytes := range map[string]int64{
+		"index": use.index, "bodies": use.bodies, "offers": use.offers,
+		"accepting": use.accepting, "loading": use.loading, "cached": use.cached, "texts": k.textBytes(),
+	} {
+		k.deps.Scope.Tagged(map[string]string{"part": part}).Gauge("batch_memory_bytes").Update(float64(bytes))
+	}
+}
--- a/batch/memory_test.go
+++ b/batch/memory_test.go
@@ -1,11 +1,15 @@
 package batch
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/currantloft/currantloft/rendez"
 )
 
 // TestOfferThatIsNeverAcceptedHoldsMemory offers a batch that nobody accepts, as while the store is
@@ -31,6 +35,68 @@
 	})
 }
 
+// TestTakeoversExceedMemory guards against hosts that take over all batches of the hosts that are lost,
+// whatever memory they have, and lose all of them.
+func TestTakeoversExceedMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccountSite(t, 1, 5)
+		accepts := func(id string, items []string) bool {
+			return slices.ContainsFunc(s.hosts(), func(name string) bool {
+				_, ok := s.at(name).Accept(t.Context(), submissionOf(t, id, items...)).(Stored)
+				return ok
+			})
+		}
+		for n := range s.hosts() {
+			id := fmt.Sprint("b", n)
+			var items []string
+			for i := range 4 {
+				items = append(items, fmt.Sprintf("ok%d-%d%s40", n, i, sizeMark))
+			}
+			if !accepts(id, items) {
+				t.Fatal("batch not accepted")
+			}
+			s.accepted[id] = &accountBatch{items: items, acceptedAt: time.Now()}
+		}
+		for _, name := range s.hosts()[1:] {
+			s.remove(name)
+		}
+		for range 1000 {
+			s.checkMemory()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for id, b := range s.accepted {
+			s.checkListed(id, b, time.Now().Add(listBound))
+		}
+		if s.problem != "" {
+			t.Error(s.problem)
+		}
+		s.closeAll()
+	})
+}
+
+// TestOwedBatchWaitsForOneHost guards against a batch that waits for the host that should take it over
+// although that has no memory for it and another one has.
+func TestOwedBatchWaitsForOneHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccountSite(t, 1, 1)
+		first := s.at("h0")
+		s.accept(t, first, "i0", "i1")
+		s.addHost()
+		s.addHost()
+		names := rendez.Top("s", []string{"h1", "h2"}, 2)
+		full, free := s.at(names[0]), s.at(names[1])
+		full.mu.Lock()
+		full.accepting["other"] = accountBytes
+		full.mu.Unlock()
+		s.remove("h0")
+		time.Sleep(listInterval + helpDelay + 2*time.Second)
+		if s.works(full.deps.Name, "s") || !s.works(free.deps.Name, "s") {
+			t.Error("the batch was not taken over by the host that has memory for it")
+		}
+		s.closeAll()
+	})
+}
+
 // TestReadsShareALoad guards against hosts that load a batch once for each read of a body.
 func TestReadsShareALoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/batch/reward.go
+++ b/batch/reward.go
@@ -209,7 +209,7 @@
 	deadline := time.UnixMilli(j.head.AcceptedMs).Add(k.lifetime(j.head))
 	k.tasks.Go(func() {
 		defer cancel()
-		reply, signature, err := k.sendReward(ctx, j, it.Reward, target, deadline)
+		reply, signature, err := k.sendReward(ctx, j, i, target, deadline)
 		k.deps.Fleet.End(target.ID(), rewardFleetResult(ctx, reply, err))
 		k.endReward(ctx, ref, state, attempt, rewardOutcome{reply: reply, signature: signature, err: err})
 	})
@@ -218,8 +218,14 @@
 // sendReward makes one attempt and reads the answer to its end. A successful answer
 // that is incomplete counts as lost.
 func (k *Keeper) sendReward(
-	ctx context.Context, j *job, call RewardCall, target fleet.Target, deadline time.Time,
+	ctx context.Context, j *job, i int, target fleet.Target, deadline time.Time,
 ) (reply relay.Reply, signature string, err error) {
+	it, release, err := k.itemToSend(ctx, j, i)
+	if err != nil {
+		return relay.NotRun{Cause: err}, "", err
+	}
+	defer release()
+	call := it.Reward
 	reply = k.deps.Engine.Send(ctx, target, relay.Request{
 		ID: call.ID, Host: call.Host, Method: http.MethodPost, Target: call.Path, Body: call.Body, Deadline: deadline, LastEventID: -1,
 		Repeatable: true, Permitted: func() bool { return k.mayStart(j) },
@@ -276,6 +282,11 @@
 			zap.String("call", it.Reward.ID), zap.String("endpoint", attempt.target.ID()))
 		return
 	}
+	if errors.Is(outcome.err, errBodyNotLoaded) {
+		j.items[i].notBefore = now.Add(bodyRetryDelay)
+		event.ItemNotLoaded.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID), zap.Error(outcome.err))
+		return
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
@@ -297,7 +308,7 @@
 
 // rewardFleetResult returns what an attempt says about its endpoint.
 func rewardFleetResult(ctx context.Context, reply relay.Reply, err error) fleet.Result {
-	if errors.Is(err, relay.ErrNotPermitted) {
+	if errors.Is(err, relay.ErrNotPermitted) || errors.Is(err, errBodyNotLoaded) {
 		return fleet.Cancelled
 	}
 	switch r := reply.(type) {
--- a/batch/run.go
+++ b/batch/run.go
@@ -46,6 +46,8 @@
 	failureBackoff = 30 * time.Millisecond
 	// maxFailureBackoff limits that wait.
 	maxFailureBackoff = time.Second
+	// bodyRetryDelay is how long an item waits whose body could not be read from the store.
+	bodyRetryDelay = 300 * time.Millisecond
 	// minRestartDelay is how long partial output waits at least for an endpoint that can
 	// continue it. An endpoint that has failed once is back before.
 	minRestartDelay = 500 * time.Millisecond
@@ -353,7 +355,12 @@
 
 // runItem sends an item to an endpoint and reads its events to the end.
 func (k *Keeper) runItem(ctx context.Context, j *job, i int, r *itemRun) (relay.Reply, error) {
-	it, target := &j.submission.Items[i], r.target
+	it, release, err := k.itemToSend(ctx, j, i)
+	if err != nil {
+		return relay.NotRun{Cause: err}, err
+	}
+	defer release()
+	target := r.target
 	k.mu.Lock()
 	state := &j.items[i]
 	last, textBytes := state.lastEvent, partial{texts: state.texts}.bytes()
@@ -370,6 +377,9 @@
 		Body: it.Body, LastEventID: last, Repeatable: true, Team: j.head.Team,
 		Permitted: func() bool { return k.mayStart(j) },
 	})
+	// The endpoint has the body.
+	it = Item{}
+	release()
 	answer, ok := reply.(relay.Answer)
 	if !ok {
 		return reply, replyCause(reply)
@@ -388,7 +398,7 @@
 	if err := reader.checkVersion(answer.Version); err != nil {
 		return reply, err
 	}
-	err := k.deps.Engine.ReadEvents(answer.Body, reader.recordEvent)
+	err = k.deps.Engine.ReadEvents(answer.Body, reader.recordEvent)
 	if err == nil && reader.lastEventAt.IsZero() && (answer.Unframed || last < 0) {
 		// The text is complete without further events only if the endpoint states that.
 		err = errNoEvent
@@ -499,6 +509,11 @@
 		event.ItemNotPermitted.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID), zap.String("endpoint", target.ID()))
 		return
 	}
+	if errors.Is(err, errBodyNotLoaded) {
+		state.notBefore = time.Now().Add(bodyRetryDelay)
+		event.ItemNotLoaded.Log(k.deps.Logger, zap.String("batch", j.head.ID), zap.String("item", it.ID), zap.Error(err))
+		return
+	}
 	if k.ctx.Err() != nil || pathLost(reply, err) {
 		return
 	}
@@ -542,7 +557,7 @@
 }
 
 func fleetResult(ctx context.Context, reply relay.Reply, err error) fleet.Result {
-	if errors.Is(err, relay.ErrNotPermitted) {
+	if errors.Is(err, relay.ErrNotPermitted) || errors.Is(err, errBodyNotLoaded) {
 		return fleet.Cancelled
 	}
 	switch r := reply.(type) {
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -55,23 +55,6 @@
 	return err
 }
 
-// loadSubmission reads and parses a batch's stored body.
-func (k *Keeper) loadSubmission(ctx context.Context, head Head) (Submission, error) {
-	var raw []byte
-	for n := range head.BodyParts {
-		record, err := object.GetImmutable(ctx, k.deps.Store, kindBodies, numberedName(head.ID, n))
-		if err != nil {
-			return Submission{}, fmt.Errorf("reading the body of batch %s: %w", head.ID, err)
-		}
-		var part bodyPart
-		if err := json.Unmarshal(record.Spec, &part); err != nil {
-			return Submission{}, fmt.Errorf("decoding the body of batch %s: %w", head.ID, err)
-		}
-		raw = append(raw, part.Raw...)
-	}
-	return k.deps.Decode(head.ID, head.Host, head.Path, raw)
-}
-
 // readChunk reads one chunk. It returns object.ErrNotFound if the chunk does
 // not exist yet.
 func (k *Keeper) readChunk(ctx context.Context, id string, n int) (chunk, error) {
@@ -90,10 +73,11 @@
 	return c, nil
 }
 
-// loadJob builds a job from everything that is stored of a batch. Ended reports
-// that the batch has ended; there is no job then. It also loads the checkpoint
-// into the cache of partial output.
-func (k *Keeper) loadJob(ctx context.Context, head Head) (j *job, ended bool, err error) {
+// loadJob builds a job from everything that is stored of a batch, as far as there is memory for it. Ended
+// reports that the batch has ended; there is no job then. It also loads the checkpoint into the
+// cache of partial output. The job's memory counts as that of the load until endLoad.
+func (k *Keeper) loadJob(l *load) (j *job, ended bool, err error) {
+	ctx, head := l.ctx, l.head
 	askedAt := k.deps.Clock()
 	_, err = object.GetImmutable(ctx, k.deps.Store, kindEnds, head.ID)
 	if err == nil {
@@ -107,7 +91,7 @@
 			return nil, false, err
 		}
 	}
-	s, err := k.loadSubmission(ctx, head)
+	s, err := l.submission()
 	if err != nil {
 		return nil, false, err
 	}
@@ -169,7 +153,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h.ends.learn(n, len(results))
-	if k.makeRoom(h.head.ID, resultsBytes(results)) {
+	if k.makeRoom(h.head.ID, resultsBytes(results), false) {
 		k.cache.get(h.head.ID).put(n, results)
 	}
 	first := h.ends.start(n)
--- a/edge/callers.go
+++ b/edge/callers.go
@@ -17,9 +17,11 @@
 	// batchShare that for the batches that the host works on.
 	decodeShare = 0.125
 	batchShare  = 0.16
-	// loadShare and readShare are the shares of the memory for what is being read of batches from the
-	// store, and for each of the results and bodies that callers get, and those that other hosts get.
+	// loadShare, sendShare and readShare are the shares of the memory for what is being read of batches
+	// from the store, for bodies that were read to be sent, and for each of the results and bodies that
+	// callers get, and those that other hosts get.
 	loadShare = 0.06
+	sendShare = 0.06
 	readShare = 0.03
 	// textShare is the share of the memory for the texts of items that are not finished.
 	textShare = 0.15
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -178,7 +178,7 @@
 		Name: self.Name, Incarnation: self.Incarnation, Domain: self.Domain, Store: e.store, ValueBytes: settings.StoreValueBytes(),
 		Fleet: e.fleet, Engine: platform.Engine{Sender: e.detour, Routes: e.table.Load}, Peers: e.peers, IsLeader: e.isLeader,
 		Policy: options.Policy.items, Retention: settings.Retention(), Routes: e.table.Load,
-		MemoryBytes: share(settings, batchShare), LoadBytes: share(settings, loadShare),
+		MemoryBytes: share(settings, batchShare), LoadBytes: share(settings, loadShare), SendBytes: share(settings, sendShare),
 		AnswerBytes: share(settings, readShare), TextBytes: share(settings, textShare),
 		Decode: e.decoder.Decode, DecodeFrom: platform.DecodeBatchFrom, DecodeItem: platform.DecodeItem, Scope: e.meter.Scope(), Logger: logger,
 	})
--- a/event/event.go
+++ b/event/event.go
@@ -158,6 +158,8 @@
 	ItemNotPermitted        = define(901, "item_not_permitted", zapcore.InfoLevel)
 	BatchPageEmpty          = define(902, "batch_page_empty", zapcore.InfoLevel)
 	BatchTailNotChecked     = define(903, "batch_tail_not_checked", zapcore.DebugLevel)
+	BatchOwed               = define(904, "batch_owed", zapcore.WarnLevel)
+	ItemNotLoaded           = define(905, "item_not_loaded", zapcore.InfoLevel)
 
 	VersionNamed       = define(880, "version_named", zapcore.InfoLevel)
 	VersionUnreadable  = define(881, "version_unreadable", zapcore.ErrorLevel)
