fix(batch): batches without a keeper are forgotten once their time is over

What callers saw: an accepted batch whose hosts were away for longer than max_queue_s and the skew that is allowed for, 46 s on the users' sites, had items that were listed neither as completed nor as errored.

Cause: a host took over only batches whose items could still run.

Change: a batch is owed until its results can't be read any more. Items whose time is over are not run but listed as errored, as those of a keeper that stays are.

--- a/batch/memory_test.go
+++ b/batch/memory_test.go
@@ -74,6 +74,27 @@
 	})
 }
 
+// TestExpiredBatchIsNeverListed guards against accepted batches whose items are listed neither way since
+// no host took them over before their time was over.
+func TestExpiredBatchIsNeverListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccountSite(t, 1, 1)
+		s.accept(t, s.at("h0"), "ok0", "ok1")
+		s.accepted["s"] = &accountBatch{items: []string{"ok0", "ok1"}, acceptedAt: time.Now()}
+		s.remove("h0")
+		// The route gives items a minute.
+		time.Sleep(time.Minute + maxClockSkew)
+		s.addHost()
+		for id, b := range s.accepted {
+			s.checkListed(id, b, time.Now().Add(listBound))
+		}
+		if s.problem != "" {
+			t.Error(s.problem)
+		}
+		s.closeAll()
+	})
+}
+
 // TestOwedBatchWaitsForOneHost guards against a batch that waits for the host that should take it over
 // although that has no memory for it and another one has.
 func TestOwedBatchWaitsForOneHost(t *testing.T) {
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -160,9 +160,11 @@
 	return defaultLifetime + maxClockSkew
 }
 
-// owed reports whether a batch that this node does not work on needs a keeper. The caller holds the lock.
+// owed reports whether a batch that this node does not work on needs a keeper: until its results can't be
+// read any more, since its items must be listed even if it is too late to run them. The caller holds
+// the lock.
 func (k *Keeper) owed(h *knownBatch, now time.Time) bool {
-	return !h.ended && !h.takingOver && k.deps.Clock() >= h.retryAt && h.head.Age(now) < k.lifetime(h.head)
+	return !h.ended && !h.takingOver && k.deps.Clock() >= h.retryAt && h.head.Age(now) < max(k.lifetime(h.head), k.deps.Retention)
 }
 
 // mayHelp reports whether this node may take over a batch that other nodes without a keeper for it
