fix(batch): offers that are never accepted hold memory for good

What callers saw: a host that was offered batches which nobody accepted, as while the store is down, declined and refused others from then on, as if it still worked on them. Each offer held its raw body beside its items.

Cause: only the acceptance of a batch ended its offer.

Change: an offer is dropped a second after the time in which its batch could be accepted. A batch that was accepted all the same is read from the store, as one whose offer was lost. The raw body of an offer is not kept: the host that offers the batch stores it.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -177,6 +177,8 @@
 		event.BatchUnreadable.Log(k.deps.Logger, zap.String("batch", id), zap.Error(err))
 		return false
 	}
+	// The raw body is not needed: the node that offers the batch stores it.
+	s.Raw = nil
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.leaving || !k.hasRoom(id, s.MemoryBytes()) {
@@ -191,7 +193,7 @@
 		// read from the store.
 		clear(k.offers)
 	}
-	k.offers[id] = offer{submission: s, bytes: s.MemoryBytes() + int64(len(s.Raw)), heldAt: k.deps.Clock()}
+	k.offers[id] = offer{submission: s, bytes: s.MemoryBytes(), heldAt: k.deps.Clock()}
 	k.firstSubmission(id, time.Now())
 	return true
 }
--- a/batch/memory.go
+++ b/batch/memory.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 )
 
 const (
@@ -129,10 +130,22 @@
 // hasRoom reports whether a submitted batch that takes the given memory fits beside those that this
 // node works on or may have to work on. One batch always fits. The caller holds the lock.
 func (k *Keeper) hasRoom(id string, bytes int64) bool {
+	k.expireOffers()
 	_, own := k.memoryOf(id)
 	return k.makeRoom(id, bytes-own.total(), false)
 }
 
+// expireOffers drops the offers of batches that can't be accepted any more, or are read from the
+// store if they were. The caller holds the lock.
+func (k *Keeper) expireOffers() {
+	now := k.deps.Clock()
+	for id, o := range k.offers {
+		if now-o.heldAt > acceptTimeout+time.Second {
+			delete(k.offers, id)
+		}
+	}
+}
+
 // makeRoom reports whether a batch may take further memory. What can be read from the store again
 // gives way to it; bodies of open batches do so beyond bodyShare or, if allBodies is true, entirely. A
 // batch that takes all memory alone may take more. The caller holds the lock.
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -127,6 +127,7 @@
 	if k.leaving {
 		return
 	}
+	k.expireOffers()
 	k.reportMemory()
 	for id, h := range k.batches {
 		j := k.jobs[id]
