fix(batch): memory of hosts grows with batches that have ended

The results of open batches counted nowhere either, and what unfinished items of ended batches had generated was taken off the memory for others.

Cause: ended batches were passed over when the memory was added up. Evidence: TestEndedBatchesExceedMemory fails before: 327,808 bytes of two batches, want at most 204,800.

Change: all that is kept of batches counts. What is stored gives way when there is no room, in this order: bodies of items that are listed or whose batch has ended, cached batches, the oldest batch that has ended, the oldest that is complete, texts of results that are durable, and bodies of open batches. Reads of what gave way come from the store, at the same positions (TestResultsGiveWay). Until then reads cost no call of the store, as before.

--- a/batch/calls.go
+++ b/batch/calls.go
@@ -316,6 +316,10 @@
 			k.mu.Unlock()
 			return Page{}, ErrNotOwner
 		}
+		if !j.results.Resident(after) {
+			k.mu.Unlock()
+			return Page{}, ErrNotOwner
+		}
 		page := j.results.Page(after, maxPageBytes)
 		changed := j.changed
 		complete := page.Next >= page.Total && after <= page.Total
--- a/batch/job.go
+++ b/batch/job.go
@@ -200,6 +200,9 @@
 		delete(k.groupEndpoints, j.head.ID+"/"+group)
 	}
 	j.results.End()
+	for i := range j.items {
+		j.setTexts(i, nil)
+	}
 	k.stopRuns(j)
 	close(j.changed)
 	j.changed = make(chan struct{})
@@ -304,6 +307,7 @@
 // lock.
 func (k *Keeper) commitChunk(j *job, results []Result) {
 	j.results.Commit(results)
+	k.makeRoom(j.head.ID, 0, true)
 	j.endRewards()
 	j.pendingSince = time.Now()
 	close(j.changed)
--- a/batch/keeper.go
+++ b/batch/keeper.go
@@ -215,6 +215,8 @@
 		ended      bool
 		handedOver bool
 		takingOver bool
+		// complete reports that all results were durable when this node dropped the batch from memory.
+		complete bool
 		// ends are where the chunks end that this node has read or written.
 		ends chunkEnds
 		// retryAt is when the next takeover may begin, by the clock that includes suspension.
--- a/batch/load.go
+++ b/batch/load.go
@@ -52,8 +52,9 @@
 		partBytes int
 		// allBodies reports that bodies of other open batches give way.
 		allBodies bool
-		// bytes is about how much memory the items take so far.
-		bytes int64
+		// bytes is about how much memory the items and the results take so far, and resultBytes
+		// that of the results.
+		bytes, resultBytes int64
 	}
 )
 
--- a/batch/memory.go
+++ b/batch/memory.go
@@ -59,12 +59,12 @@
 	return total
 }
 
-// memoryUse is about how much memory this node uses because of batches, by what for. Bodies and cached
-// batches can be read from the store again.
-type memoryUse struct{ index, bodies, offers, accepting, loading, cached int64 }
+// memoryUse is about how much memory this node uses because of batches, by what for. Bodies, results
+// and cached batches can be read from the store again.
+type memoryUse struct{ index, bodies, results, offers, accepting, loading, cached int64 }
 
 func (u memoryUse) total() int64 {
-	return u.index + u.bodies + u.offers + u.accepting + u.loading + u.cached
+	return u.index + u.bodies + u.results + u.offers + u.accepting + u.loading + u.cached
 }
 
 // memoryOf adds up the memory that batches take: all, or the one with the given ID. The caller
@@ -77,9 +77,7 @@
 		}
 	}
 	for batch, j := range k.jobs {
-		if !j.results.Ended() {
-			add(batch, memoryUse{index: j.indexBytes, bodies: j.bodyBytes})
-		}
+		add(batch, memoryUse{index: j.indexBytes, bodies: j.bodyBytes, results: j.results.Bytes()})
 	}
 	for batch, o := range k.offers {
 		add(batch, memoryUse{offers: o.bytes})
@@ -99,6 +97,7 @@
 func (u *memoryUse) add(v memoryUse) {
 	u.index += v.index
 	u.bodies += v.bodies
+	u.results += v.results
 	u.offers += v.offers
 	u.accepting += v.accepting
 	u.loading += v.loading
@@ -169,7 +168,61 @@
 // evict drops from memory something that can be read from the store again, the least needed first.
 // It reports false if there is nothing. The caller holds the lock.
 func (k *Keeper) evict(bytes int64, allBodies bool) bool {
-	return k.cache.evictOldest() || k.evictBodies(bytes, allBodies)
+	return k.evictUnusedBodies() || k.cache.evictOldest() || k.evictJob((*ResultLog).Ended) ||
+		k.evictJob((*ResultLog).complete) || k.evictResults() || k.evictBodies(bytes, allBodies)
+}
+
+// evictUnusedBodies drops the bodies of items that have a durable result or whose batch has ended.
+func (k *Keeper) evictUnusedBodies() bool {
+	evicted := false
+	for _, j := range k.jobs {
+		if j.bodyBytes == 0 {
+			continue
+		}
+		for i := range j.submission.Items {
+			if j.results.Ended() || j.results.durableItems[j.submission.Items[i].ID] {
+				evicted = j.dropBodies(i) > 0 || evicted
+			}
+		}
+	}
+	return evicted
+}
+
+// evictJob drops the oldest batch of those for which done is true.
+func (k *Keeper) evictJob(done func(*ResultLog) bool) bool {
+	var oldest *job
+	for _, j := range k.jobs {
+		if done(j.results) && (oldest == nil || j.head.AcceptedMs < oldest.head.AcceptedMs) {
+			oldest = j
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	id := oldest.head.ID
+	if h := k.batches[id]; h != nil {
+		h.complete, h.ends = oldest.results.complete(), oldest.results.ends
+	}
+	delete(k.jobs, id)
+	oldest.released = true
+	close(oldest.changed)
+	oldest.changed = make(chan struct{})
+	return true
+}
+
+// evictResults drops the texts of durable results of the batch that has most of them.
+func (k *Keeper) evictResults() bool {
+	var largest *job
+	for _, j := range k.jobs {
+		if bytes := j.results.durableBytes; bytes > 0 && (largest == nil || bytes > largest.results.durableBytes) {
+			largest = j
+		}
+	}
+	if largest == nil {
+		return false
+	}
+	largest.results.EvictTexts()
+	return true
 }
 
 // evictBodies drops bodies of the batch that has most of them, at most about as many bytes as given.
@@ -180,7 +233,7 @@
 	}
 	var largest *job
 	for _, j := range k.jobs {
-		if !j.results.Ended() && j.bodyBytes > protected && (largest == nil || j.bodyBytes > largest.bodyBytes) {
+		if j.bodyBytes > protected && (largest == nil || j.bodyBytes > largest.bodyBytes) {
 			largest = j
 		}
 	}
@@ -210,7 +263,7 @@
 func (k *Keeper) reportMemory() {
 	use, _ := k.memoryOf("")
 	for part, bytes := range map[string]int64{
-		"index": use.index, "bodies": use.bodies, "offers": use.offers,
+		"index": use.index, "bodies": use.bodies, "results": use.results, "offers": use.offers,
 		"accepting": use.accepting, "loading": use.loading, "cached": use.cached, "texts": k.textBytes(),
 	} {
 		k.deps.Scope.Tagged(map[string]string{"part": part}).Gauge("batch_memory_bytes").Update(float64(bytes))
--- a/batch/memory_test.go
+++ b/batch/memory_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/currantloft/currantloft/fakes/check"
 	"github.com/currantloft/currantloft/rendez"
 )
 
@@ -118,6 +119,63 @@
 	})
 }
 
+// TestEndedBatchesExceedMemory guards against hosts whose memory grows with the batches that have ended, and
+// against results that are gone once they gave way.
+func TestEndedBatchesExceedMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccountSite(t, 1, 1)
+		for n := range 10 {
+			id := fmt.Sprint("b", n)
+			b := &accountBatch{acceptedAt: time.Now()}
+			for i := range 4 {
+				b.items = append(b.items, fmt.Sprintf("ok%d-%d%s40", n, i, sizeMark))
+			}
+			if _, ok := s.at("h0").Accept(t.Context(), submissionOf(t, id, b.items...)).(Stored); !ok {
+				t.Fatal("batch not accepted")
+			}
+			s.accepted[id] = b
+			s.checkListed(id, b, time.Now().Add(listBound))
+			if err := s.at("h0").End(t.Context(), id); err != nil {
+				t.Fatal(err)
+			}
+			s.checkMemory()
+		}
+		for id, b := range s.accepted {
+			s.checkListed(id, b, time.Now().Add(listBound))
+		}
+		if s.problem != "" {
+			t.Error(s.problem)
+		}
+		s.closeAll()
+	})
+}
+
+// TestResultsGiveWay drops the texts of results from memory: they are read from the store, at the same
+// positions.
+func TestResultsGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccountSite(t, 1, 2)
+		items := []string{"ok0", "ok1", "ok2", "ok3", "i4"}
+		s.accept(t, s.at("h0"), items...)
+		before := readUntil(t, s.at("h0"), "s", 3)
+		owner := s.owner(t, "s", "h0", "h1")
+		owner.mu.Lock()
+		owner.jobs["s"].results.EvictTexts()
+		owner.mu.Unlock()
+		for _, name := range s.hosts() {
+			for position := range before.Results {
+				page, err := s.at(name).Read(t.Context(), "s", position, 0)
+				check.Equal(t, "error", err, nil)
+				check.Equal(t, "first result of a page", page.Results[0], before.Results[position])
+			}
+			page, err := s.at(name).Read(t.Context(), "s", 4, time.Second)
+			check.Equal(t, "error", err, nil)
+			check.Equal(t, "results after the last one", len(page.Results), 0)
+		}
+		s.closeAll()
+	})
+}
+
 // TestReadsShareALoad guards against hosts that load a batch once for each read of a body.
 func TestReadsShareALoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/batch/partial.go
+++ b/batch/partial.go
@@ -290,7 +290,8 @@
 func (k *Keeper) cachePartials(j *job) {
 	now := time.Now()
 	byItem := make(map[string]Result)
-	for _, list := range [][]Result{j.results.durable, j.results.pending} {
+	// Texts that are in the store only are generated anew.
+	for _, list := range [][]Result{j.results.durable[j.results.evicted:], j.results.pending} {
 		for _, r := range list {
 			if !r.Failed {
 				byItem[r.Item] = r
--- a/batch/resultlog.go
+++ b/batch/resultlog.go
@@ -16,6 +16,10 @@
 	// ends are where the chunks end.
 	ends  chunkEnds
 	ended bool
+	// evicted is the number of leading durable results whose texts are in the store only.
+	evicted int
+	// durableBytes and pendingBytes are about how much memory the results take.
+	durableBytes, pendingBytes int64
 }
 
 // NewResultLog returns a log for the given items, without results.
@@ -64,9 +68,27 @@
 	}
 	l.pending = append(l.pending, result)
 	l.pendingItems[result.Item] = true
+	l.pendingBytes += resultsBytes([]Result{result})
 	return true
 }
 
+// Bytes returns about how much memory the results take.
+func (l *ResultLog) Bytes() int64 { return l.durableBytes + l.pendingBytes }
+
+// EvictTexts drops the texts of all durable results from memory.
+func (l *ResultLog) EvictTexts() {
+	for i := l.evicted; i < len(l.durable); i++ {
+		l.durable[i].Text = ""
+	}
+	l.evicted, l.durableBytes = len(l.durable), 0
+}
+
+// Resident reports whether the results from a position on are in memory, as far as there are any.
+func (l *ResultLog) Resident(after int) bool { return after >= l.evicted }
+
+// complete reports whether all results are durable.
+func (l *ResultLog) complete() bool { return len(l.durableItems) == len(l.items) }
+
 // resultsBytes returns about how much memory results take.
 func resultsBytes(results []Result) int64 {
 	total := 0
@@ -107,6 +129,7 @@
 		}
 	}
 	l.durable = append(l.durable, results...)
+	l.durableBytes += resultsBytes(results)
 	l.ends.learn(len(l.ends), len(results))
 	remaining := l.pending[:0:0]
 	l.pendingItems = make(map[string]bool)
@@ -116,7 +139,7 @@
 			l.pendingItems[r.Item] = true
 		}
 	}
-	l.pending = remaining
+	l.pending, l.pendingBytes = remaining, resultsBytes(remaining)
 }
 
 // CompleteGroups returns how many groups are complete: all their results are
--- a/batch/stored.go
+++ b/batch/stored.go
@@ -107,10 +107,26 @@
 			return nil, false, err
 		}
 		j.results.Commit(c.Results)
+		k.countResults(l, j)
 	}
 }
 
-// readFromStore reads results of a batch that no reachable node owns.
+// countResults counts the results of a job that is being loaded. If there is no memory for their
+// texts, these stay in the store.
+func (k *Keeper) countResults(l *load, j *job) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l.bytes -= l.resultBytes
+	if l.resultBytes = 0; k.makeRoom(l.head.ID, j.results.Bytes(), false) {
+		l.resultBytes = j.results.Bytes()
+		l.bytes += l.resultBytes
+		return
+	}
+	j.results.EvictTexts()
+}
+
+// readFromStore reads results of a batch that no reachable node owns, or whose owner does not have
+// them in memory.
 func (k *Keeper) readFromStore(ctx context.Context, head Head, after int) (Page, error) {
 	for {
 		k.mu.Lock()
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -165,7 +165,8 @@
 // read any more, since its items must be listed even if it is too late to run them. The caller holds
 // the lock.
 func (k *Keeper) owed(h *knownBatch, now time.Time) bool {
-	return !h.ended && !h.takingOver && k.deps.Clock() >= h.retryAt && h.head.Age(now) < max(k.lifetime(h.head), k.deps.Retention)
+	return !h.ended && !h.complete && !h.takingOver && k.deps.Clock() >= h.retryAt &&
+		h.head.Age(now) < max(k.lifetime(h.head), k.deps.Retention)
 }
 
 // mayHelp reports whether this node may take over a batch that other nodes without a keeper for it
