fix(platform): a submission of many small items exhausts a host while it is decoded

What callers saw: one submission within max_body_bytes of 32 MiB whose items are as short as possible took 745 MB of a host of 134 MB while it was decoded, and 1,032 MB with a retry; the platform ends such a host, and the next one to which the submission comes.

Cause: submissions are decoded within a share of the memory, but one that needs more is decoded alone, however much it takes. Evidence: TestBodyAtLimitOfSite fails before with a batch of many items, 745,168,896 bytes.

Change: a submission whose items take more than half of the memory for batches without their bodies, some 16,000 on a host of 134 MB, is refused at once with 503: no host of this memory could own it or take it over. It is not answered with 413, since it is within the limits that the configuration promises.

--- a/edge/callers.go
+++ b/edge/callers.go
@@ -17,6 +17,9 @@
 	// batchShare that for the batches that the host works on.
 	decodeShare = 0.125
 	batchShare  = 0.16
+	// indexShare is the part of batchShare that the items of one batch may take without their bodies,
+	// so that a host can own several of the largest ones.
+	indexShare = 0.5
 	// loadShare, sendShare and readShare are the shares of the memory for what is being read of batches
 	// from the store, for bodies that were read to be sent, and for each of the results and bodies that
 	// callers get, and those that other hosts get.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -144,7 +144,7 @@
 		fleet: fleet.New(time.Now), rejected: make(map[string]bool),
 	}
 	e.settings.Store(settings)
-	e.decoder = platform.NewBatchDecoder(share(settings, decodeShare))
+	e.decoder = platform.NewBatchDecoder(share(settings, decodeShare), share(settings, indexShare*batchShare))
 	e.pool.Observe(countCalls(e.meter.Scope()))
 	e.answers = intact.NewBudget(share(settings, answerShare))
 	e.store = platform.NewStore(settings.StoreAddress(), intact.NewBudget(share(settings, storeShare)), e.meter.Scope(), logger)
--- a/integ/crowd_test.go
+++ b/integ/crowd_test.go
@@ -501,6 +501,18 @@
 			return s.exchange(h.callerAddress, b.String()) == http.StatusAccepted
 		})
 	})
+	t.Run("batch of many items", func(t *testing.T) {
+		var items, b strings.Builder
+		items.WriteString(`{"items":[{"id":"first","path":"/"}`)
+		for n := 0; items.Len() < siteBodyBytes-100; n++ {
+			fmt.Fprintf(&items, `,{"id":"%d","path":"/"}`, n)
+		}
+		items.WriteString(`]}`)
+		_ = lengthForm(batchPath, siteBodyBytes, func(int) string { return items.String() })(1, true, &b)
+		if status := s.exchange(h.callerAddress, b.String()); status != http.StatusServiceUnavailable {
+			t.Errorf("got status %d, want %d: no host has memory for the items", status, http.StatusServiceUnavailable)
+		}
+	})
 	s.checkBounded(t)
 	s.press(h.callerAddress, 20, lengthForm(largePath, 64<<10, body))
 	s.checkServes(h)
