--- a/batch/account_test.go
+++ b/batch/account_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
+	"github.com/currantloft/currantloft/fakes/memory"
 	"github.com/currantloft/currantloft/object"
 	"github.com/currantloft/currantloft/relay"
 )
@@ -42,6 +49,7 @@
 	accountBatch struct {
 		items      []string
 		acceptedAt time.Time
+		ended      bool
 	}
 
 	// accountPeers is a host's view of the other hosts. A host that was removed does not answer.
@@ -162,6 +170,94 @@
 	time.Sleep(5 * settleBound)
 }
 
+// submit submits a batch of random size at a random host.
+func (s *accountSite) submit(n int) {
+	k := s.host()
+	if k == nil {
+		return
+	}
+	var items []string
+	size, many := 1+s.upTo(60), 1+s.upTo(7)
+	switch s.upTo(7) {
+	case 0:
+		size = 100 + s.upTo(150)
+	case 1:
+		// Without their bodies, the items take up to a half of the memory.
+		size, many = 0, 20+s.upTo(100)
+	}
+	for i := range many {
+		items = append(items, fmt.Sprintf("ok%d-%d%s%d", n, i, sizeMark, size))
+	}
+	id := fmt.Sprint("b", n)
+	s.tasks.Go(func() {
+		submission, err := decodeTest(id, "h", "/b/x", []byte(strings.Join(items, " ")))
+		if err != nil {
+			s.fail("%v", err)
+			return
+		}
+		began := time.Now()
+		outcome := k.Accept(s.t.Context(), submission)
+		s.log("%s is submitted at %s: %d items of %d kB, %T", id, k.deps.Name, len(items), size, outcome)
+		if _, ok := outcome.(Stored); ok {
+			s.accountMu.Lock()
+			defer s.accountMu.Unlock()
+			s.accepted[id] = &accountBatch{items: items, acceptedAt: began}
+		}
+	})
+}
+
+// batch returns a random accepted batch, empty if there is none.
+func (s *accountSite) batch() (id string, b *accountBatch) {
+	s.accountMu.Lock()
+	ids := slices.Sorted(maps.Keys(s.accepted))
+	s.accountMu.Unlock()
+	if len(ids) == 0 {
+		return "", nil
+	}
+	id = ids[s.upTo(time.Duration(len(ids)-1))]
+	s.accountMu.Lock()
+	defer s.accountMu.Unlock()
+	return id, s.accepted[id]
+}
+
+// readBody reads the body of a random item at a random host.
+func (s *accountSite) readBody() {
+	id, b := s.batch()
+	k := s.host()
+	if b == nil || k == nil {
+		return
+	}
+	item := b.items[s.upTo(time.Duration(len(b.items)-1))]
+	s.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(s.t.Context(), 5*time.Second)
+		defer cancel()
+		body, err := k.Body(ctx, id, item)
+		switch {
+		case errors.Is(err, ErrUnknown):
+			s.fail("%s knows no body of %s of an accepted batch", k.deps.Name, item)
+		case err == nil && string(body) != string(bodyOfTestItem(item)):
+			s.fail("%s returns a body of %d bytes for %s", k.deps.Name, len(body), item)
+		}
+	})
+}
+
+// end ends a random batch.
+func (s *accountSite) endOne() {
+	id, b := s.batch()
+	k := s.host()
+	if b == nil || k == nil {
+		return
+	}
+	s.tasks.Go(func() {
+		// An end that is not acknowledged may be stored all the same.
+		s.accountMu.Lock()
+		b.ended = true
+		s.accountMu.Unlock()
+		err := k.End(s.t.Context(), id)
+		s.log("%s is ended at %s: %v", id, k.deps.Name, err)
+	})
+}
+
 // checkMemory checks what the live hosts hold. One batch alone may take more than the memory.
 func (s *accountSite) checkMemory() {
 	for _, name := range s.hosts() {
@@ -230,3 +326,95 @@
 		s.fail("%s has %d of %d items listed %v after its submission: %v", id, len(listed), len(b.items), time.Since(b.acceptedAt), err)
 	}
 }
+
+// TestAccountSequences goes through random sequences of submissions, offers, reads, ends, losses and
+// replacements of hosts and outages of the store: hosts hold no more than the memory for batches, and
+// all items of accepted batches are listed in time.
+func TestAccountSequences(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		synctest.Test(t, func(t *testing.T) {
+			if problem := accountSequence(t, seed); problem != "" {
+				rt.Errorf("seed %d: %s", seed, problem)
+			}
+		})
+	})
+}
+
+// accountSequence plays the sequence of a seed and returns what was wrong.
+func accountSequence(t *testing.T, seed uint64) string {
+	s := newAccountSite(t, seed, 4)
+	s.setDial(0, 100*time.Millisecond)
+	stop := make(chan struct{})
+	s.tasks.Go(func() {
+		for {
+			s.checkMemory()
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	})
+	// Few hosts and a long outage are rare in each other's company otherwise.
+	calm := s.upTo(1) == 0
+	for step := range 40 {
+		switch s.upTo(9) {
+		case 0, 1, 2:
+			s.submit(step)
+		case 3:
+			if k := s.host(); k != nil {
+				k.HoldOffer(fmt.Sprint("o", step), "h", "/b/x", []byte(fmt.Sprintf("ok%d%s%d", step, sizeMark, 1+s.upTo(80))))
+			}
+		case 4, 5:
+			for range s.upTo(20) {
+				s.readBody()
+			}
+		case 6:
+			s.endOne()
+		case 7:
+			if k := s.host(); k != nil {
+				s.remove(k.deps.Name)
+				s.tasks.Go(func() {
+					time.Sleep(s.upTo(20 * time.Second))
+					s.addHost()
+				})
+			}
+		case 8:
+			if !calm {
+				s.store.SetFaults(memory.Faults{Refuse: true})
+				time.AfterFunc(s.upTo(6*time.Second), func() { s.store.SetFaults(memory.Faults{}) })
+			}
+		case 9:
+			for _, name := range s.hosts() {
+				s.remove(name)
+				s.tasks.Go(func() {
+					time.Sleep(s.upTo(90 * time.Second))
+					s.addHost()
+				})
+			}
+		}
+		time.Sleep(s.upTo(3 * time.Second))
+	}
+	time.Sleep(90 * time.Second)
+	close(stop)
+	s.tasks.Wait()
+	calmAt := time.Now()
+	var readers sync.WaitGroup
+	for _, id := range slices.Sorted(maps.Keys(s.accepted)) {
+		b := s.accepted[id]
+		// A batch that is too old to be read is removed.
+		if !b.ended && time.Since(b.acceptedAt) < accountRetention-listBound {
+			readers.Go(func() { s.checkListed(id, b, calmAt.Add(listBound)) })
+		}
+	}
+	readers.Wait()
+	s.checkMemory()
+	s.closeAll()
+	if s.problem != "" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.problem + ":\n" + strings.Join(s.trace, "\n")
+	}
+	return ""
+}
