--- a/batch/memory_test.go
+++ b/batch/memory_test.go
@@ -36,27 +36,42 @@
 	})
 }
 
+// acceptLarge has a batch accepted that takes most of a host's memory, by the first host that has room.
+func (s *accountSite) acceptLarge(t *testing.T, n int) string {
+	t.Helper()
+	id, b := fmt.Sprint("b", n), &accountBatch{acceptedAt: time.Now()}
+	for i := range 4 {
+		b.items = append(b.items, fmt.Sprintf("ok%d-%d%s40", n, i, sizeMark))
+	}
+	if !slices.ContainsFunc(s.hosts(), func(name string) bool {
+		_, ok := s.at(name).Accept(t.Context(), submissionOf(t, id, b.items...)).(Stored)
+		return ok
+	}) {
+		t.Fatal("batch not accepted")
+	}
+	s.accepted[id] = b
+	return id
+}
+
+// checkAll checks that all batches are listed, ends the hosts and reports what was wrong.
+func (s *accountSite) checkAll(t *testing.T) {
+	t.Helper()
+	for id, b := range s.accepted {
+		s.checkListed(id, b, time.Now().Add(listBound))
+	}
+	if s.problem != "" {
+		t.Error(s.problem)
+	}
+	s.closeAll()
+}
+
 // TestTakeoversExceedMemory guards against hosts that take over all batches of the hosts that are lost,
 // whatever memory they have, and lose all of them.
 func TestTakeoversExceedMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newAccountSite(t, 1, 5)
-		accepts := func(id string, items []string) bool {
-			return slices.ContainsFunc(s.hosts(), func(name string) bool {
-				_, ok := s.at(name).Accept(t.Context(), submissionOf(t, id, items...)).(Stored)
-				return ok
-			})
-		}
 		for n := range s.hosts() {
-			id := fmt.Sprint("b", n)
-			var items []string
-			for i := range 4 {
-				items = append(items, fmt.Sprintf("ok%d-%d%s40", n, i, sizeMark))
-			}
-			if !accepts(id, items) {
-				t.Fatal("batch not accepted")
-			}
-			s.accepted[id] = &accountBatch{items: items, acceptedAt: time.Now()}
+			s.acceptLarge(t, n)
 		}
 		for _, name := range s.hosts()[1:] {
 			s.remove(name)
@@ -65,13 +80,7 @@
 			s.checkMemory()
 			time.Sleep(10 * time.Millisecond)
 		}
-		for id, b := range s.accepted {
-			s.checkListed(id, b, time.Now().Add(listBound))
-		}
-		if s.problem != "" {
-			t.Error(s.problem)
-		}
-		s.closeAll()
+		s.checkAll(t)
 	})
 }
 
@@ -86,13 +95,7 @@
 		// The route gives items a minute.
 		time.Sleep(time.Minute + maxClockSkew)
 		s.addHost()
-		for id, b := range s.accepted {
-			s.checkListed(id, b, time.Now().Add(listBound))
-		}
-		if s.problem != "" {
-			t.Error(s.problem)
-		}
-		s.closeAll()
+		s.checkAll(t)
 	})
 }
 
@@ -125,28 +128,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newAccountSite(t, 1, 1)
 		for n := range 10 {
-			id := fmt.Sprint("b", n)
-			b := &accountBatch{acceptedAt: time.Now()}
-			for i := range 4 {
-				b.items = append(b.items, fmt.Sprintf("ok%d-%d%s40", n, i, sizeMark))
-			}
-			if _, ok := s.at("h0").Accept(t.Context(), submissionOf(t, id, b.items...)).(Stored); !ok {
-				t.Fatal("batch not accepted")
-			}
-			s.accepted[id] = b
-			s.checkListed(id, b, time.Now().Add(listBound))
+			id := s.acceptLarge(t, n)
+			s.checkListed(id, s.accepted[id], time.Now().Add(listBound))
 			if err := s.at("h0").End(t.Context(), id); err != nil {
 				t.Fatal(err)
 			}
 			s.checkMemory()
 		}
-		for id, b := range s.accepted {
-			s.checkListed(id, b, time.Now().Add(listBound))
-		}
-		if s.problem != "" {
-			t.Error(s.problem)
-		}
-		s.closeAll()
+		s.checkAll(t)
 	})
 }
 
