--- a/integ/crowd_test.go
+++ b/integ/crowd_test.go
@@ -458,13 +458,16 @@
 	s.checkBounded(t)
 }
 
-// TestBodyAtLimitOfSite sends bodies of the largest size that the users' sites allow, a quarter
-// of a host's memory, one after the other.
-func TestBodyAtLimitOfSite(t *testing.T) {
-	const (
-		siteBodyBytes = 32 << 20
-		largePath     = "/large/"
-	)
+// siteBodyBytes is the largest size of a body that the users' sites allow, and largePath the path of a route
+// for such bodies.
+const (
+	siteBodyBytes = 32 << 20
+	largePath     = "/large/"
+)
+
+// newLargeBodySite starts hosts that take the largest bodies of the users' sites.
+func newLargeBodySite(t testing.TB) *site {
+	t.Helper()
 	s := newCrowdSite(t)
 	h := s.hosts[0]
 	config := siteConfig(2)
@@ -477,6 +480,27 @@
 	s.eventually("the configuration is in force", func() bool {
 		return s.status(h, h.callerAddress, largePath+"x") == http.StatusOK
 	})
+	return s
+}
+
+// TestAnswerAtLimitOfSite guards against hosts that run out of memory by an answer as large as the largest body, of
+// which the caller reads everything.
+func TestAnswerAtLimitOfSite(t *testing.T) {
+	s := newLargeBodySite(t)
+	for range 3 {
+		status, answer := s.send(http.MethodPost, s.hosts[0].callerAddress, largePath+"x", "whole", []byte(plainBody(0)+strings.Repeat("b", siteBodyBytes-crowdBodyBytes)))
+		if status != http.StatusOK || len(answer) < siteBodyBytes {
+			t.Errorf("got status %d and %d bytes", status, len(answer))
+		}
+	}
+	s.checkBounded(t)
+}
+
+// TestBodyAtLimitOfSite sends bodies of the largest size that the users' sites allow, a quarter
+// of a host's memory, one after the other.
+func TestBodyAtLimitOfSite(t *testing.T) {
+	s := newLargeBodySite(t)
+	h := s.hosts[0]
 	body := func(int) string { return strings.Repeat("b", siteBodyBytes) }
 	for name, form := range map[string]crowdForm{
 		"length": lengthForm(largePath, siteBodyBytes, body),
