--- a/batch/load.go
+++ b/batch/load.go
@@ -31,7 +31,7 @@
 var errBodyNotLoaded = errors.New("the item's body could not be read from the store")
 
 type (
-	// section is a part of the memory for batches whose users wait for each other.
+	// section is memory of a fixed size whose users wait for each other, beside what is held of batches.
 	section struct {
 		memory   *semaphore.Weighted
 		capacity int64
--- a/batch/memory.go
+++ b/batch/memory.go
@@ -13,13 +13,13 @@
 	// bodyShare is the share of the memory for batches up to which the bodies of a batch's items
 	// do not give way to a batch that is submitted.
 	bodyShare = 0.25
-	// evictPart is the part of the memory for batches that bodies leave at least at once, since
-	// finding out which ones takes time.
+	// evictPart is the part of the memory for batches that bodies give way to at least, so that not
+	// each item of a load looks for further ones.
 	evictPart = 64
 )
 
 // ErrNoMemory reports that this node has no memory for a batch, or for a part of it, now.
-var ErrNoMemory = errors.New("this node has no memory for another batch")
+var ErrNoMemory = errors.New("this node has no memory for this batch now: try again")
 
 // IndexBytes returns about how much memory the item takes without its bodies.
 func (it *Item) IndexBytes() int64 {
@@ -59,8 +59,9 @@
 	return total
 }
 
-// memoryUse is about how much memory this node uses because of batches, by what for. Bodies, results
-// and cached batches can be read from the store again.
+// memoryUse is about how much memory this node uses because of batches, by what for. The index of a batch
+// is its items without their bodies, which its keeper needs. Bodies, results and cached batches can be
+// read from the store again.
 type memoryUse struct{ index, bodies, results, offers, accepting, loading, cached int64 }
 
 func (u memoryUse) total() int64 {
