fix(waits): tests crash the Go runtime by timers that are due at once

All timers of a synctest bubble share one context of the race detector, and a timer whose time has come when it is first looked at fires on the thread that looks (maybeRunChan, unlockAndRun), so that several threads use that context at the same time. The trace stands in waits.For with a duration of 0: a scheduling pass takes no time within a bubble, so that each of its pauses is such a timer. More hosts in a sequence make it more likely; earlier sequences had three.

Change: For returns at once if there is nothing to wait for, with the error of a context that has ended.

--- a/waits/waits.go
+++ b/waits/waits.go
@@ -14,8 +14,11 @@
 )
 
 // For waits for the duration d. It returns the context's error if the context
-// ends first.
+// ends first, or has ended.
 func For(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
