test(intake): a request is sent before the one whose share it must not get is whole

Cause: the test writes a body that is to be held and sends the next one at once. If the server has not read the first by then, the second is served, rightly.

Change: the test waits until the body that is held is whole; what it checks is the same.

--- a/intake/server_test.go
+++ b/intake/server_test.go
@@ -32,8 +32,9 @@
 type testServer struct {
 	address string
 	scope   tally.TestScope
-	// hold keeps answers back until it is closed.
-	hold chan struct{}
+	// hold keeps answers back until it is closed. held gets a value for each request that waits for it,
+	// whose body is whole.
+	hold, held chan struct{}
 }
 
 func startServer(t *testing.T, bodyTimeout time.Duration) *testServer {
@@ -42,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &testServer{address: listener.Addr().String(), scope: tally.NewTestScope("", nil), hold: make(chan struct{})}
+	s := &testServer{address: listener.Addr().String(), scope: tally.NewTestScope("", nil), hold: make(chan struct{}), held: make(chan struct{}, 1)}
 	server := NewServer(Config{
 		Budget: NewBudget(serverCapacity, time.Now), Connections: 4, HeadBytes: func() int { return 1 << 10 },
 		HeadTimeout: serverTimeout, BodyTimeout: serverTimeout, IdleTimeout: serverTimeout,
@@ -50,6 +51,7 @@
 			_, err := ReadBody(r, serverCapacity, bodyTimeout)
 			if err == nil {
 				if r.URL.Path == "/held" {
+					s.held <- struct{}{}
 					<-s.hold
 				}
 				return
@@ -134,6 +136,11 @@
 		defer close(s.hold)
 		held := s.send(t, post("/held", len(large), large))
 		defer held.Close()
+		select {
+		case <-s.held:
+		case <-time.After(serverTimeout):
+			t.Fatal("the body that is to be held did not become whole")
+		}
 		checkStatus(t, s.send(t, post("/", len(large), large)), http.StatusServiceUnavailable)
 		checkStatus(t, s.send(t, post("/", 5, "small")), http.StatusOK)
 		s.checkCounted(t, partBody, causeMemory)
