fix(batch): a host may end by a panic while a batch gives way to others

What callers would see: a host that ends and is started again.

Cause: a host remembers where the chunks of a batch end. When a batch gave way, what its keeper had in memory replaced that, although a reader may have found later chunks of another keeper in the store, and be reading the next one: its position is beyond the end of the list. Evidence: TestEvictedKeeperKnowsFewerChunks before the change: "index out of range [2] with length 2".

Change: the list only grows.

TestResultsGiveWay now waits for the results by time: a loop that polls results which are there does not let time pass within a bubble, and could hang. What it checks is the same, and that all four results are there.

--- a/batch/memory.go
+++ b/batch/memory.go
@@ -202,7 +202,8 @@
 	}
 	id := oldest.head.ID
 	if h := k.batches[id]; h != nil {
-		h.complete, h.ends = oldest.results.complete(), oldest.results.ends
+		k.learnEnds(h)
+		h.complete = oldest.results.complete()
 	}
 	delete(k.jobs, id)
 	oldest.released = true
--- a/batch/memory_test.go
+++ b/batch/memory_test.go
@@ -146,7 +146,11 @@
 		s := newAccountSite(t, 1, 2)
 		items := []string{"ok0", "ok1", "ok2", "ok3", "i4"}
 		s.accept(t, s.at("h0"), items...)
-		before := readUntil(t, s.at("h0"), "s", 3)
+		// Items take up to 3 s, the last one goes on.
+		time.Sleep(5 * time.Second)
+		before, err := s.at("h0").Read(t.Context(), "s", 0, 0)
+		check.Equal(t, "error", err, nil)
+		check.Equal(t, "results", len(before.Results), 4)
 		owner := s.owner(t, "s", "h0", "h1")
 		owner.mu.Lock()
 		owner.jobs["s"].results.EvictTexts()
@@ -165,6 +169,26 @@
 	})
 }
 
+// TestEvictedKeeperKnowsFewerChunks guards against a reader that panics: it reads the chunk after those that its
+// host knows, while the host drops a batch of which it has fewer chunks in memory.
+func TestEvictedKeeperKnowsFewerChunks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newAccountSite(t, 1, 1)
+		k := s.at("h0")
+		s.accept(t, k, "ok0", "ok1")
+		// Items take up to 3 s.
+		time.Sleep(5 * time.Second)
+		k.mu.Lock()
+		h := k.batches["s"]
+		// Another keeper has written these, and a reader has found them in the store.
+		h.ends = chunkEnds{1, 2, 3}
+		k.evictJob((*ResultLog).complete)
+		k.mu.Unlock()
+		check.Equal(t, "results of the next chunk", len(k.cacheChunk(h, 3, 3, []Result{{Item: "ok3"}})), 1)
+		s.closeAll()
+	})
+}
+
 // TestReadsShareALoad guards against hosts that load a batch once for each read of a body.
 func TestReadsShareALoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
