--- a/batch/account_test.go
+++ b/batch/account_test.go
@@ -206,7 +206,7 @@
 	})
 }
 
-// batch returns a random accepted batch, empty if there is none.
+// batch returns a random accepted batch, nil if there is none.
 func (s *accountSite) batch() (id string, b *accountBatch) {
 	s.accountMu.Lock()
 	ids := slices.Sorted(maps.Keys(s.accepted))
@@ -241,7 +241,7 @@
 	})
 }
 
-// end ends a random batch.
+// endOne ends a random batch.
 func (s *accountSite) endOne() {
 	id, b := s.batch()
 	k := s.host()
@@ -356,8 +356,7 @@
 			}
 		}
 	})
-	// Few hosts and a long outage are rare in each other's company otherwise.
-	calm := s.upTo(1) == 0
+	outages := s.upTo(1) == 0
 	for step := range 40 {
 		switch s.upTo(9) {
 		case 0, 1, 2:
@@ -381,7 +380,7 @@
 				})
 			}
 		case 8:
-			if !calm {
+			if outages {
 				s.store.SetFaults(memory.Faults{Refuse: true})
 				time.AfterFunc(s.upTo(6*time.Second), func() { s.store.SetFaults(memory.Faults{}) })
 			}
--- a/batch/cache.go
+++ b/batch/cache.go
@@ -6,11 +6,11 @@
 )
 
 type (
-	// cache holds stored data of batches that are not in the jobs of this node, those last that were
-	// read last.
+	// cache holds stored data of batches, most of them batches that other nodes own.
 	cache struct {
 		batches map[string]*cachedBatch
-		order   []string
+		// order lists the batches, the least recently read first.
+		order []string
 	}
 
 	// cachedBatch is the cached data of one batch. Chunks never change.
@@ -32,7 +32,7 @@
 
 func newCache() *cache { return &cache{batches: make(map[string]*cachedBatch)} }
 
-// get returns what is cached of a batch, which is read now.
+// get returns what is cached of a batch and records that it is being read.
 func (c *cache) get(id string) *cachedBatch {
 	cached := c.batches[id]
 	if cached == nil {
@@ -45,7 +45,7 @@
 	return cached
 }
 
-// evictOldest drops the batch that has not been read for longest.
+// evictOldest drops the least recently read batch. It reports false if there is none.
 func (c *cache) evictOldest() bool {
 	if len(c.order) == 0 {
 		return false
--- a/batch/load.go
+++ b/batch/load.go
@@ -31,12 +31,12 @@
 var errBodyNotLoaded = errors.New("the item's body could not be read from the store")
 
 type (
-	// section is memory of a fixed size whose users wait for each other, beside what is held of batches.
+	// section is a fixed amount of memory for one use, for which its users queue.
 	section struct {
 		memory   *semaphore.Weighted
 		capacity int64
-		// large is held by a user that needs more than the capacity, so that there is one of them
-		// in all sections that have it; nil if the user holds it already.
+		// large admits one user at a time that needs more than the capacity, in all sections that
+		// share it. It is nil for sections that such a user needs besides.
 		large *semaphore.Weighted
 	}
 
@@ -64,7 +64,7 @@
 }
 
 // acquire waits for memory and returns a function that releases it. A user that needs more than the
-// section has gets it alone.
+// capacity waits until it is the only one.
 func (s *section) acquire(ctx context.Context, bytes int64) (release func(), err error) {
 	if s.capacity <= 0 || bytes <= 0 {
 		return func() {}, nil
@@ -154,8 +154,8 @@
 	return nil
 }
 
-// beginLoad makes the memory of a load count. The caller calls endLoad in the end, under the lock
-// under which what was loaded counts otherwise.
+// beginLoad returns a load whose memory counts until endLoad. The caller ends it in the same critical
+// section in which it stores what was loaded, so that nothing counts twice or not at all.
 func (k *Keeper) beginLoad(ctx context.Context, head Head, allBodies bool) *load {
 	l := &load{keeper: k, head: head, ctx: ctx, allBodies: allBodies, partBytes: k.partBytes()}
 	k.mu.Lock()
@@ -164,7 +164,7 @@
 	return l
 }
 
-// endLoad ends the count of a load. The caller holds the lock.
+// endLoad ends a load. The caller holds the lock.
 func (k *Keeper) endLoad(l *load) { delete(k.loading, l) }
 
 // submission reads and decodes a batch's stored body, part by part. Bodies of items for which there
--- a/batch/memory.go
+++ b/batch/memory.go
@@ -13,8 +13,8 @@
 	// bodyShare is the share of the memory for batches up to which the bodies of a batch's items
 	// do not give way to a batch that is submitted.
 	bodyShare = 0.25
-	// evictPart is the part of the memory for batches that bodies give way to at least, so that not
-	// each item of a load looks for further ones.
+	// evictPart divides the memory for batches into the steps in which bodies are evicted, since each
+	// step searches all batches.
 	evictPart = 64
 )
 
@@ -135,8 +135,8 @@
 	return k.makeRoom(id, bytes-own.total(), false)
 }
 
-// expireOffers drops the offers of batches that can't be accepted any more, or are read from the
-// store if they were. The caller holds the lock.
+// expireOffers drops offers that are too old to be accepted. A batch that was accepted all the same is
+// taken over from the store. The caller holds the lock.
 func (k *Keeper) expireOffers() {
 	now := k.deps.Clock()
 	for id, o := range k.offers {
@@ -227,7 +227,8 @@
 	return true
 }
 
-// evictBodies drops bodies of the batch that has most of them, at most about as many bytes as given.
+// evictBodies drops about the given number of bytes of bodies of the batch that has most of them, a step
+// at least. Unless all is true, the batch keeps as much as bodyShare protects.
 func (k *Keeper) evictBodies(bytes int64, all bool) bool {
 	protected := int64(0)
 	if !all {
