fix(reach): a host does not find the only one that reaches an endpoint

Cause: a search asks four hosts, those first that have lost no endpoint, and the next search the same ones again, whatever they answered. A host that has lost another endpoint itself was never asked.

Change: a search asks those last that have failed to reach the endpoint.

--- a/reach/attempt.go
+++ b/reach/attempt.go
@@ -118,7 +118,7 @@
 
 // nextHost returns the best host that was not tried: one over which the endpoint was
 // reached, then one that has lost no endpoint, in the endpoint's failure domain first,
-// then any. The caller holds the lock.
+// then any; a search asks those last that have failed to reach the endpoint. The caller holds the lock.
 func (a *Attempt) nextHost() (Host, bool) {
 	var candidates []Host
 	b, now := a.book, a.book.now()
@@ -140,6 +140,9 @@
 			return 0
 		case l != nil && l.failures == 0 && !l.connectedAt.IsZero():
 			return 0
+		case a.search && l != nil && l.failures > 0:
+			// The next search asks those that the last ones have not asked.
+			return 4
 		case h.Unreached > 0:
 			return 3
 		case h.Domain == a.domain:
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -55,6 +55,24 @@
 		check.Equal(t, "unreached endpoints", h.book.Unreached(), 0)
 		check.Equal(t, "isolated", h.book.Isolated(), false)
 	})
+	t.Run("the only host that reaches an endpoint has lost another one", func(t *testing.T) {
+		f := newFleet(8, 2)
+		lose := func(endpoint int, hosts ...int) {
+			for _, h := range hosts {
+				f.up[h][endpoint] = false
+			}
+			for round := range 4 {
+				for _, h := range f.hosts {
+					h.attempt((round+h.index)%2, "r")
+				}
+				f.pass(100 * time.Millisecond)
+			}
+			f.pass(noticeTime)
+		}
+		lose(0, 6)
+		lose(1, 0, 1, 2, 3, 4, 5, 7)
+		assertPath(t, f.hosts[0], 1, false)
+	})
 	t.Run("an endpoint that is down", func(t *testing.T) {
 		f := newFleet(6, 3)
 		h := f.hosts[0]
