review: a case for results with the text of another tenant's item

Output of incomplete groups is cached by the item's id alone (batch/partial.go). A trainer that numbers its items as another one does gets that one's texts as its own results, also across tenants, routes and models.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -32,6 +32,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(l *lab) error{
+	"foreign-text": foreignText,
 	"open-batches": openBatches,
 }
 
