review: a case for streams that end without an answer

An answer that is passed on while it is read is begun before its first event has come, and every failure of it ends the channel (platform/serve.go). A stream whose first event is later than the route's timeout gets no status at all.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -32,9 +32,10 @@
 
 // cases are the cases by name.
 var cases = map[string]func(l *lab) error{
-	"foreign-text": foreignText,
-	"open-batches": openBatches,
-	"slow-readers": slowReaders,
+	"foreign-text":     foreignText,
+	"open-batches":     openBatches,
+	"slow-readers":     slowReaders,
+	"late-first-event": lateFirstEvent,
 }
 
 func main() {
