--- a/review/standin3/lab.go
+++ b/review/standin3/lab.go
@@ -37,10 +37,10 @@
 	portal = "tenant-portal"
 	// contact is contact_ms of the settings, restartDelay how long the platform takes to start a
 	// process again.
-	contact      = 3 * time.Second
-	restartDelay = 500 * time.Millisecond
-	memoryMB     = 134
-	readyLimit   = 20 * time.Second
+	contact       = 3 * time.Second
+	restartDelay  = 500 * time.Millisecond
+	memoryLimitMB = 134
+	readyLimit    = 20 * time.Second
 )
 
 type (
@@ -53,6 +53,10 @@
 		store   *fake.Store
 		// bounds are further lines of the hosts' settings, which come last.
 		bounds []string
+		// oneCore makes the hosts use one processor, as the platform's machines have one.
+		oneCore bool
+		// bodyBytes is max_body_bytes of the desired state.
+		bodyBytes int
 
 		mu       sync.Mutex
 		record   io.Writer
@@ -79,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{trouble: trouble, began: time.Now(), folder: folder, store: fake.StartStore(), record: record}
+	l := &lab{trouble: trouble, began: time.Now(), folder: folder, store: fake.StartStore(), record: record, bodyBytes: 1 << 20}
 	l.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(230), 1+rand.IntN(250))
 	l.logf("trouble %t, hosts at %s.1 and on, store at %s", trouble, l.subnet, l.store.Address())
 	return l, nil
@@ -123,9 +127,6 @@
 	return err
 }
 
-// remove removes an object of the store.
-func (l *lab) remove(kind, name string) { _ = l.store.Memory.Delete(context.Background(), kind, name) }
-
 // route returns a route of the desired state.
 func route(name, kind, service string, timeout time.Duration, attempts int) map[string]any {
 	return map[string]any{
@@ -150,7 +151,7 @@
 	}
 	state := map[string]any{
 		"version": version, "routes": routes, "services": list,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": l.bodyBytes, "header_timeout_ms": 5000, "idle_timeout_ms": 15000},
 	}
 	if tenants != nil {
 		state["tenants"] = tenants
@@ -210,7 +211,7 @@
 		fmt.Sprintf("listen.frontend=%s:%d", h.ip, frontendPort), fmt.Sprintf("listen.ready=%s:%d", h.ip, readyPort),
 		fmt.Sprintf("listen.registry=%s:%d", h.ip, registryPort), fmt.Sprintf("internal_ports=%d,%d", internalPort, internalPort+15),
 		"bootstrap=true", "in_tolerance=false", "limits.cpu_quota=0.4", "limits.cpu_cores=1",
-		"limits.memory_mb=" + strconv.Itoa(memoryMB), "limits.max_fds=4100", "limits.link_mbps=1000", "limits.disk_mb=0",
+		"limits.memory_mb=" + strconv.Itoa(memoryLimitMB), "limits.max_fds=4100", "limits.link_mbps=1000", "limits.disk_mb=0",
 		"discovery=platform", "entry=registry", "heartbeat_ms=1200",
 		"bounds.contact_ms=3000", "bounds.ack_ms=4000", "bounds.drain_ms=2000", "bounds.grace_s=8", "bounds.loss_slack_ms=200",
 		"bounds.config_apply_ms=2000", "bounds.rollback_slack_ms=250", "bounds.skew_max_ms=5000", "bounds.recover_s=12",
@@ -230,6 +231,9 @@
 	defer log.Close()
 	cmd := exec.Command(h.command[0], h.command[1:]...)
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CURRANTLOFT_SETTINGS=" + h.settings}
+	if h.lab.oneCore {
+		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	// The process ends with this one.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -262,24 +266,60 @@
 	<-done
 }
 
-// residentMB returns the memory of the host's process.
-func (h *host) residentMB() float64 {
+// memoryMB returns the anonymous memory of the host's process, without the pages of its program.
+func (h *host) memoryMB() float64 {
 	h.mu.Lock()
 	pid := h.cmd.Process.Pid
 	h.mu.Unlock()
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
-	fields := strings.Fields(string(text))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, err := strconv.Atoi(fields[1])
+	_, after, _ := strings.Cut(string(text), "RssAnon:")
+	kilobytes, _, _ := strings.Cut(strings.TrimSpace(after), " ")
+	n, err := strconv.Atoi(kilobytes)
 	if err != nil {
 		return 0
 	}
-	return float64(pages) * float64(os.Getpagesize()) / (1 << 20)
+	return float64(n) / 1024
+}
+
+// limitMemory ends the host's process whenever it takes more memory than its limit, and starts it
+// again. It returns how often that was, and the most memory that was seen.
+func (h *host) limitMemory(end time.Time) (ended int, most float64) {
+	for ; time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		used := h.memoryMB()
+		most = max(most, used)
+		if used <= memoryLimitMB {
+			continue
+		}
+		h.lab.logf("%s takes %.0f MB, its limit is %d: the platform ends it", h.name, used, memoryLimitMB)
+		h.kill()
+		ended++
+		time.Sleep(restartDelay)
+		if err := h.start(); err != nil {
+			h.lab.logf("%s does not start: %v", h.name, err)
+			return ended, most
+		}
+	}
+	return ended, most
+}
+
+// judgeMemory judges how often each host was ended for its memory: three times on a tenth of the
+// machines, two at least, is too often.
+func (l *lab) judgeMemory(ended []int, most []float64) error {
+	machines := 0
+	for i, h := range l.hosts {
+		l.logf("%s: most memory %.0f MB, ended %d times", h.name, most[i], ended[i])
+		if ended[i] >= 3 {
+			machines++
+		}
+	}
+	l.logf("%d of %d machines were ended three times", machines, len(l.hosts))
+	if machines >= 2 {
+		return errBroken
+	}
+	return nil
 }
 
 var control = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -34,7 +34,6 @@
 var cases = map[string]func(l *lab) error{
 	"foreign-text":     foreignText,
 	"open-batches":     openBatches,
-	"crashing-stream":  crashingStream,
 	"slow-readers":     slowReaders,
 	"late-first-event": lateFirstEvent,
 }
--- a/review/standin3/requester.go
+++ b/review/standin3/requester.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sort"
 	"strings"
 	"syscall"
 	"time"
@@ -110,7 +109,3 @@
 	}
 	return fmt.Sprintf("status %d after %d ms, %d bytes, complete %t", a.status, a.took.Milliseconds(), len(a.body), a.err == nil)
 }
-
-func sortTimes(times []time.Time) {
-	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
-}
--- a/review/standin3/sampler.go
+++ b/review/standin3/sampler.go
@@ -14,25 +14,11 @@
 )
 
 const (
-	// silence is after how long the store removes the entry of a sampler that has crashed: three
-	// intervals of its heartbeat.
-	silence = 3600 * time.Millisecond
-	// downTime is how long a sampler that has crashed is down.
-	downTime     = 2 * time.Second
 	slots        = 16
 	kindSamplers = "servers"
 )
 
 type (
-	// run is a request that has reached a sampler.
-	run struct {
-		at      time.Time
-		sampler string
-		id      string
-		header  http.Header
-		path    string
-	}
-
 	// behaviour answers a request that a sampler runs.
 	behaviour func(s *sampler, w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -50,8 +36,6 @@
 		address string
 		server  *http.Server
 		closed  bool
-		runs    []run
-		crashes []time.Time
 	}
 )
 
@@ -108,25 +92,6 @@
 	return s.lab.put(kindSamplers, id, entry)
 }
 
-// crash ends the sampler as the end of its process would: its address refuses connections and
-// its connections break. It is back after downTime.
-func (s *sampler) crash() {
-	id := s.id()
-	s.mu.Lock()
-	server := s.server
-	s.crashes = append(s.crashes, time.Now())
-	s.mu.Unlock()
-	s.lab.logf("sampler %s crashes", id)
-	// Closes the listener first, then the connections.
-	_ = server.Close()
-	time.AfterFunc(silence, func() { s.lab.remove(kindSamplers, id) })
-	time.AfterFunc(downTime, func() {
-		if err := s.start(); err != nil {
-			s.lab.logf("sampler %s does not start: %v", s.name, err)
-		}
-	})
-}
-
 func (s *sampler) close() {
 	s.mu.Lock()
 	s.closed = true
@@ -163,9 +128,6 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.mu.Lock()
-	s.runs = append(s.runs, run{at: time.Now(), sampler: id, id: attempt, header: r.Header.Clone(), path: r.RequestURI})
-	s.mu.Unlock()
 	s.lab.logf("sampler %s runs request %s %s", id, attempt, r.RequestURI)
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Response-Signature", "3e1b.07."+attempt)
@@ -214,33 +176,6 @@
 	}
 }
 
-// arrivals returns all requests that have reached samplers and match.
-func (l *lab) arrivals(match func(run) bool) []run {
-	var list []run
-	for _, s := range l.samplers {
-		s.mu.Lock()
-		for _, r := range s.runs {
-			if match(r) {
-				list = append(list, r)
-			}
-		}
-		s.mu.Unlock()
-	}
-	return list
-}
-
-// crashTimes returns when samplers have crashed, in order.
-func (l *lab) crashTimes() []time.Time {
-	var times []time.Time
-	for _, s := range l.samplers {
-		s.mu.Lock()
-		times = append(times, s.crashes...)
-		s.mu.Unlock()
-	}
-	sortTimes(times)
-	return times
-}
-
 // report answers a request for the sampler's report, and rejects orders: no version is named.
 func (s *sampler) report(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
--- a/review/standin3/slow.go
+++ b/review/standin3/slow.go
@@ -23,6 +23,7 @@
 		budget    = 15 * time.Second
 		startTime = 12 * time.Second
 	)
+	l.oneCore = true
 	big := bytes.Repeat([]byte("x"), answerBytes)
 	behave := func(_ *sampler, w http.ResponseWriter, _ *http.Request, _ []byte) {
 		w.Header().Set("Content-Length", strconv.Itoa(len(big)))
@@ -68,39 +69,8 @@
 		}
 	}
 	tasks.Wait()
-	machines := 0
-	for i, h := range l.hosts {
-		l.logf("%s: most memory %.0f MB, ended %d times", h.name, most[i], ended[i])
-		if ended[i] >= 3 {
-			machines++
-		}
-	}
-	l.logf("%d requests were sent, %d answers read to the end; %d of %d machines were ended three times", sent.Load(), complete.Load(), machines, len(l.hosts))
-	if machines >= 2 {
-		return errBroken
-	}
-	return nil
-}
-
-// limitMemory ends the host's process whenever it takes more memory than its limit, and starts it
-// again. It returns how often that was, and the most memory that was seen.
-func (h *host) limitMemory(end time.Time) (ended int, most float64) {
-	for ; time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		used := h.residentMB()
-		most = max(most, used)
-		if used <= memoryMB {
-			continue
-		}
-		h.lab.logf("%s takes %.0f MB, its limit is %d: the platform ends it", h.name, used, memoryMB)
-		h.kill()
-		ended++
-		time.Sleep(restartDelay)
-		if err := h.start(); err != nil {
-			h.lab.logf("%s does not start: %v", h.name, err)
-			return ended, most
-		}
-	}
-	return ended, most
+	l.logf("%d requests were sent, %d answers read to the end", sent.Load(), complete.Load())
+	return l.judgeMemory(ended, most)
 }
 
 // readSlowly sends a request and reads its answer, slowly if there is trouble, until its time
