review: a case for requests with bodies at the limit

A request with a body of max_body_bytes, 33,554,432, takes a host of 134 MB beyond its memory: the buffer of a body is copied each time it doubles (intake/body.go) and only the newest one counts.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -34,6 +34,7 @@
 var cases = map[string]func(l *lab) error{
 	"foreign-text":     foreignText,
 	"open-batches":     openBatches,
+	"large-bodies":     largeBodies,
 	"slow-readers":     slowReaders,
 	"late-first-event": lateFirstEvent,
 }
